--- /dev/null
+++ b/violetdoor/core/controller.py
@@ -0,0 +1,237 @@
+"""The decision module on a real clock: events in, awaitable results out to the task that owns a request.
+
+Nothing here knows what a request looks like on a wire. The controller owns the Balancer, its timers and the
+ids; it keeps the rules that no front may break: one final answer a request, one attempt out at a time, and no
+send to a server that the list has not named or that drains.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from lynxdeck import interface as i
+from lynxdeck.policy import Balancer
+from violetdoor.core.delays import WINDOW, Delays, carrier
+
+log = logging.getLogger("violetdoor.core")
+
+Prober = Callable[[str], Awaitable[i.Probed]]
+
+
+@dataclass(slots=True, frozen=True)
+class Left:
+    """In place of a decision: the client left, nothing more is owed."""
+
+
+Decision = i.Send | i.Refuse | i.Fail | Left
+
+
+class Ticket:
+    """One request as its task sees it: await decisions, say how attempts end."""
+
+    __slots__ = (
+        "_controller", "_next", "_out", "_sent_at", "attempt", "cls", "deadline", "id", "message_aim", "move",
+        "over", "server",
+    )  # fmt: skip
+
+    def __init__(self, controller: Controller, request: int, cls: str, deadline: float) -> None:
+        self._controller, self.id, self.cls, self.deadline = controller, request, cls, deadline
+        self.message_aim = controller.settings.classes[cls].message_aim
+        self._next: asyncio.Future[Decision] = controller.loop.create_future()
+        self.move: asyncio.Future[None] = controller.loop.create_future()
+        self.server, self.attempt = "", -1
+        self._out = self.over = False
+        self._sent_at = 0.0
+
+    async def decision(self) -> Decision:
+        """Wait for what to do next; after a Send, say how it went before asking again."""
+        choice = await self._next
+        if isinstance(choice, i.Send):
+            self._next = self._controller.loop.create_future()
+        return choice
+
+    def decided(self, choice: Decision) -> None:
+        """Hand the owner its next decision; guards against a second final answer or a second attempt out."""
+        if self._next.done() or (self.over and not isinstance(choice, Left)):
+            log.error("request %d: a decision came that nobody waits for: %r", self.id, choice)
+            return
+        if isinstance(choice, i.Send):
+            if self._out:
+                log.error("request %d: second attempt while one is out", self.id)
+                return
+            self.server, self.attempt, self._out = choice.server, self.attempt + 1, True
+            self._sent_at = self._controller.now()
+        else:
+            self.over = True
+        self._next.set_result(choice)
+
+    def adopt(self, server: str) -> None:
+        """Count a connection that was open at this server before this program started."""
+        self.server, self.attempt, self._out = server, 0, True
+        self._sent_at = self._controller.now()
+
+    def established(self) -> None:
+        """The attempt's connection stands: it belongs to this server now."""
+        latency = self._controller.now() - self._sent_at
+        self._controller.stands(self)
+        self._controller.handle(i.Established(self.id, self.attempt, self.server, latency))
+
+    def load(self, value: float) -> None:
+        """The connection's load now, in the unit of the hint."""
+        self._controller.handle(i.Note(self.id, self.attempt, self.server, i.NoteKind.LOAD, value))
+
+    def message_took(self, value: float) -> None:
+        """A message and its echo took so many ms at the server."""
+        self._controller.delays.add(self.server, value)
+
+    def ended(self, result: i.Result, final: bool = False) -> None:
+        """The attempt is over; final where nothing more is owed."""
+        if not self._out:
+            return
+        self._out = False
+        self.over = self.over or final
+        latency = self._controller.now() - self._sent_at
+        outcome = i.Outcome(self.id, self.attempt, self.server, result, latency, final)
+        self._controller.handle(outcome)
+        if final:
+            self._controller.forget(self)
+
+    def left(self) -> None:
+        """The client left before its connection stood."""
+        if self.over:
+            return
+        self.over = True
+        self._controller.handle(i.Abandoned(self.id))
+        if not self._next.done():
+            self._next.set_result(Left())
+
+    def close(self) -> None:
+        """The owner is done; what the module still holds of the request goes."""
+        self._out = False
+        if not self.over:
+            self.over = True
+            self._controller.handle(i.Abandoned(self.id))
+        self._controller.forget(self)
+
+
+class Controller:
+    """Owns the Balancer and carries out its actions."""
+
+    def __init__(
+        self, settings: i.Settings, seed: int, clock: Callable[[], float], tells_delay: bool = False
+    ) -> None:
+        self.settings, self.now, self.loop = settings, clock, asyncio.get_running_loop()
+        self.balancer = Balancer(settings, seed, clock())
+        self.tickets: dict[int, Ticket] = {}
+        self.standing: dict[str, dict[int, Ticket]] = {}  # by server
+        self.states: dict[str, i.ServerState] = {}
+        self.follow: Callable[[], None] = lambda: None
+        self.prober: Prober | None = None
+        self.faults = 0
+        self._last_id = 0
+        self._probes: set[asyncio.Task[None]] = set()
+        aims = [c.message_aim for c in settings.classes.values()]
+        self.delays = Delays(min(aims, default=0.0))
+        if tells_delay and aims:
+            self.loop.call_later(WINDOW / 1000, self._tell_delays)
+
+    def listed(self, servers: i.ServerList) -> None:
+        """The list, a change of it, or a call for it that failed."""
+        if servers.kind.whole:
+            self.states.clear()
+        for entry in servers.entries:
+            if entry.state is i.ServerState.GONE:
+                self.states.pop(entry.server, None)
+            else:
+                self.states[entry.server] = entry.state
+        self.handle(servers)
+
+    def may_send(self, server: str) -> bool:
+        """Whether new work may go there now; ask again just before the first byte."""
+        return self.states.get(server) is i.ServerState.READY
+
+    def arrive(
+        self, cls: str, time_left: float, tenant: str, key: int | None, load: float | None,
+        group: int | None, repeat: bool, again: bool,
+    ) -> Ticket:  # fmt: skip
+        """Take a request; its ticket brings the module's decisions."""
+        ticket = self._ticket(cls, self.now() + time_left)
+        self.handle(
+            i.Arrival(ticket.id, cls, time_left, tenant, key, load, group, repeat=repeat, again=again)
+        )
+        return ticket
+
+    def adopt(
+        self, cls: str, server: str, tenant: str, key: int | None, load: float | None, group: int | None
+    ) -> Ticket:
+        """Take a connection that stood at this server before this program started."""
+        ticket = self._ticket(cls, float("inf"))
+        ticket.adopt(server)
+        self.stands(ticket)
+        self.handle(i.Adopted(ticket.id, cls, server, tenant, key, load, group))
+        return ticket
+
+    def _ticket(self, cls: str, deadline: float) -> Ticket:
+        self._last_id += 1
+        ticket = self.tickets[self._last_id] = Ticket(self, self._last_id, cls, deadline)
+        return ticket
+
+    def stands(self, ticket: Ticket) -> None:
+        self.standing.setdefault(ticket.server, {})[ticket.id] = ticket
+
+    def forget(self, ticket: Ticket) -> None:
+        self.tickets.pop(ticket.id, None)
+        if there := self.standing.get(ticket.server):
+            there.pop(ticket.id, None)
+            if not there:
+                del self.standing[ticket.server]
+
+    def handle(self, event: i.Event) -> None:
+        """Give the module an event, carry out what it returns."""
+        for action in self.balancer.handle(self.now(), event):
+            self._carry_out(action)
+
+    def _carry_out(self, action: i.Action) -> None:
+        match action:
+            case i.Send() | i.Refuse() | i.Fail():
+                if ticket := self.tickets.get(action.request):
+                    ticket.decided(action)
+            case i.SetTimer():
+                delay = max(0.0, action.at - self.now()) / 1000
+                self.loop.call_later(delay, self._timer, action.token)
+            case i.Move():
+                ticket = self.tickets.get(action.request)
+                if ticket and not ticket.move.done():
+                    ticket.move.set_result(None)
+            case i.Follow():
+                self.follow()
+            case i.Probe():
+                task = self.loop.create_task(self._probe(action.server))
+                self._probes.add(task)
+                task.add_done_callback(self._probes.discard)
+
+    def _timer(self, token: str) -> None:
+        try:
+            self.handle(i.TimerFired(token))
+        except Exception:  # one request's fault must not end the module's clock for all others
+            self.faults += 1
+            log.exception("timer %s failed in the decision module", token)
+            if token == "tick":
+                self.loop.call_later(1.0, self._timer, token)
+
+    async def _probe(self, server: str) -> None:
+        if self.prober is None or not self.may_send(server):
+            self.handle(i.Probed(server, i.Result.UNREACHABLE, 0.0))
+        else:
+            self.handle(await self.prober(server))
+
+    def _tell_delays(self) -> None:
+        self.loop.call_later(WINDOW / 1000, self._tell_delays)
+        for server, value in self.delays.close_window():
+            ticket = carrier(self.standing.get(server, {}))
+            if ticket is not None:
+                note = i.Note(ticket.id, ticket.attempt, server, i.NoteKind.DELAY, value)
+                self.handle(note)
--- /dev/null
+++ b/violetdoor/core/delays.py
@@ -0,0 +1,56 @@
+"""How long a message takes at each server, told to the decision module as the bench tells it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from statistics import median
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from violetdoor.core.controller import Ticket
+
+WINDOW = 1_000.0  # ms between two notes on one server
+MOST = 64  # samples kept of one window
+
+
+@dataclass(slots=True)
+class ServerDelay:
+    """The message times of one server in this window."""
+
+    samples: list[float] = field(default_factory=list)
+    over: bool = False  # the last note told of a delay
+
+
+class Delays:
+    """Collects message times; once a window each server's median becomes a note if it is long."""
+
+    def __init__(self, shortest_aim: float) -> None:
+        self.threshold = shortest_aim / 3
+        self.servers: dict[str, ServerDelay] = {}
+
+    def add(self, server: str, value: float) -> None:
+        """Take one message time in ms."""
+        known = self.servers.get(server)
+        if known is None:
+            known = self.servers[server] = ServerDelay()
+        if len(known.samples) < MOST:
+            known.samples.append(value)
+
+    def close_window(self) -> list[tuple[str, float]]:
+        """The servers to tell of: those over the threshold, and those just back under it."""
+        told = []
+        for name, known in list(self.servers.items()):
+            if not known.samples:
+                del self.servers[name]
+                continue
+            value = median(known.samples)  # one late wake-up of this process is no slow server
+            known.samples.clear()
+            if value > self.threshold or known.over:
+                told.append((name, value))
+            known.over = value > self.threshold
+        return told
+
+
+def carrier(tickets: dict[int, Ticket]) -> Ticket | None:
+    """The connection that carries a server's note: that of the class with the shortest message aim."""
+    return min(tickets.values(), key=lambda t: t.message_aim, default=None)
--- /dev/null
+++ b/violetdoor/fronts/__init__.py
@@ -0,0 +1,1 @@
+"""The protocols that clients and gate servers speak, one package each."""
--- /dev/null
+++ b/violetdoor/fronts/line/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's line protocol."""
--- /dev/null
+++ b/violetdoor/fronts/line/session.py
@@ -0,0 +1,292 @@
+"""One client's connection on the line protocol, from its first line to its end."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import deque
+from typing import TYPE_CHECKING
+
+from lynxdeck import interface as i
+from violetdoor.core import Left, Ticket
+from violetdoor.fronts.line.opening import Opening, SyntaxFaultError, parse
+from violetdoor.net.sockets import LineSocket, LineTooLongError, connect, send_parts
+
+if TYPE_CHECKING:
+    from violetdoor.fronts.line.front import LineFront
+
+log = logging.getLogger("violetdoor.line")
+
+FIRST_LINE = 10.0  # s that a new connection has for its first line
+ADOPT_TIME, ADOPT_PAUSE = 35.0, 0.3  # s to bring up a connection from before the run; between two tries
+MOVE_WRITE = 0.5  # s that a client has to take its MOVE
+CLIENT_WRITE = 5.0  # s that a client may leave its lines unread
+UNANSWERED_MOST = 64  # lines of a client whose echo is timed
+
+
+class Session:
+    """The life of one client's connection."""
+
+    def __init__(self, front: LineFront, client: LineSocket) -> None:
+        self.front, self.core, self.client = front, front.core, client
+        self.server: LineSocket | None = None
+        self.ticket: Ticket | None = None
+        self.loop = asyncio.get_running_loop()
+        self.gone: asyncio.Future[None] = self.loop.create_future()  # the client ended
+        self.up: asyncio.Future[None] = self.loop.create_future()  # its server is there
+        self.silent: asyncio.Future[None] = self.loop.create_future()
+        self.asked: deque[float] = deque(maxlen=UNANSWERED_MOST)  # when lines went that have no answer yet
+        self.writing = asyncio.Lock()  # held while lines go to the client: MOVE comes between them
+        self.farewell = ""  # BYE or MOVE, once the server said it
+
+    async def run(self) -> None:
+        """Answer a first line: a check of the front, or a request."""
+        client, front = self.client, self.front
+        arrived = self.core.now()
+        async with asyncio.timeout(FIRST_LINE):
+            length = await client.line()
+        while length and client.buffer[:length].rstrip(b"\r\n") == b"PING":
+            front.counts["pings"] += 1
+            client.consume(length)
+            await send_parts(client.sock, [b"PONG\r\n"])
+            async with asyncio.timeout(front.idle):
+                length = await client.line()
+            arrived = self.core.now()
+        if not length:
+            return
+        try:
+            opening = parse(client.view[:length])
+            if opening.cls not in self.core.settings.classes:
+                raise SyntaxFaultError(f"unknown class {opening.cls!r}")
+        except SyntaxFaultError as err:
+            front.counts["syntax"] += 1
+            log.warning("bad first line: %s", err)
+            await send_parts(client.sock, [b"ERR\r\n"])
+            return
+        client.consume(length)
+        front.counts["opens"] += 1
+        reader = self.loop.create_task(self.from_client())
+        try:
+            if opening.at:
+                await self.bring_back(opening)
+            elif front.leaving:
+                await self.answer("busy", b"BUSY %d\r\n" % front.leave_retry)
+            else:
+                await self.request(opening, arrived)
+        finally:
+            if self.ticket is not None:
+                self.ticket.close()
+            reader.cancel()
+            await asyncio.gather(reader, return_exceptions=True)
+            if self.server is not None:
+                self.server.close()
+
+    async def request(self, opening: Opening, arrived: float) -> None:
+        """Ask the core what to do until the request has its one final answer."""
+        left = opening.time_left - (self.core.now() - arrived)
+        ticket = self.ticket = self.core.arrive(
+            opening.cls, left, opening.tenant, opening.key, opening.load, opening.group,
+            opening.repeat, opening.again,
+        )  # fmt: skip
+        while True:
+            choice = await ticket.decision()
+            match choice:
+                case Left():
+                    self.front.counts["left_early"] += 1
+                    return
+                case i.Refuse():
+                    await self.answer("busy", b"BUSY %d\r\n" % round(choice.retry_after))
+                    return
+                case i.Fail():
+                    await self.answer("failed", b"ERR\r\n")
+                    return
+                case i.Send():
+                    result = await self.attempt(opening, choice.server, choice.give_up)
+                    if result is i.Result.OK:
+                        ticket.established()
+                        await self.standing(ticket)
+                        return
+                    if self.gone.done():
+                        ticket.left()
+                    ticket.ended(result)
+
+    async def bring_back(self, opening: Opening) -> None:
+        """Bring up a connection that was open at a known server before this program ran."""
+        until = self.core.now() + ADOPT_TIME * 1000
+        while not self.gone.done() and self.core.now() < until:
+            result = await self.attempt(opening, opening.at, until, named=True)
+            if result is i.Result.OK:
+                self.front.counts["adopted"] += 1
+                ticket = self.ticket = self.core.adopt(
+                    opening.cls, opening.at, opening.tenant, opening.key, opening.load, opening.group
+                )
+                await self.standing(ticket)
+                return
+            if not result.never_ran:
+                break
+            await asyncio.sleep(ADOPT_PAUSE)
+        await self.answer("failed", b"ERR\r\n")
+
+    async def answer(self, name: str, line: bytes) -> None:
+        """Give the one final answer."""
+        self.front.counts[f"answered_{name}"] += 1
+        await send_parts(self.client.sock, [line])
+
+    async def attempt(self, opening: Opening, server: str, give_up: float, named: bool = False) -> i.Result:
+        """Try one server; its connection is kept when it is up, else closed. A client that leaves ends it."""
+        trying = self.loop.create_task(self.try_server(opening, server, give_up, named))
+        try:
+            await asyncio.wait((trying, self.gone), return_when=asyncio.FIRST_COMPLETED)
+            if not trying.done():
+                trying.cancel()
+                await asyncio.gather(trying, return_exceptions=True)
+                result = i.Result.CANCELLED
+            else:
+                result = trying.result()
+        except BaseException:
+            trying.cancel()
+            raise
+        self.front.counts[f"attempt_{result.value}"] += 1
+        return result
+
+    async def try_server(self, opening: Opening, server: str, give_up: float, named: bool) -> i.Result:
+        """Connect, send the line, wait for its answer."""
+        left = (give_up - self.core.now()) / 1000
+        address = self.front.directory.addresses.get(server)
+        if address is None or left <= 0:
+            return i.Result.UNREACHABLE
+        try:
+            sock = await connect(address, min(self.front.connect_timeout, left))
+        except OSError:
+            return i.Result.UNREACHABLE
+        link = LineSocket(sock)
+        kept = False
+        try:
+            # The list may have changed while the connection came up: a draining server gets no byte.
+            if not named and not self.core.may_send(server):
+                self.front.counts["drain_kept"] += 1
+                return i.Result.UNREACHABLE
+            left = give_up - self.core.now()
+            try:
+                async with asyncio.timeout(left / 1000):
+                    try:
+                        await send_parts(sock, opening.parts(left))
+                    except OSError:
+                        return i.Result.UNREACHABLE
+                    length = await link.line()
+            except TimeoutError:
+                return i.Result.TIMEOUT
+            word = bytes(link.buffer[:length]).split(b" ")[0].rstrip(b"\r\n")
+            if word == b"UP":
+                self.server, kept = link, True
+                return i.Result.OK
+            if not length:
+                return i.Result.RESET
+            return i.Result.FULL if word == b"BUSY" else i.Result.ERROR
+        except LineTooLongError:
+            return i.Result.ERROR
+        finally:
+            if not kept:
+                link.close()
+
+    async def standing(self, ticket: Ticket) -> None:
+        """Pass lines both ways until one side ends, the core moves the client, or the server is silent."""
+        counts, front = self.front.counts, self.front
+        counts["answered_up"] += 1
+        front.standing.add(self)
+        self.up.set_result(None)
+        down = self.loop.create_task(self.from_server(ticket))
+        try:
+            ends = (down, self.gone, ticket.move, self.silent)
+            await asyncio.wait(ends, return_when=asyncio.FIRST_COMPLETED)
+            if down.done():
+                down.result()
+                server = self.server
+                ended = {"BYE": i.Result.OK, "MOVE": i.Result.CANCELLED}.get(self.farewell, i.Result.RESET)
+                counts[f"ended_{ended.value}"] += 1
+                ticket.ended(ended, final=True)
+                self.client.reset = server is not None and server.reset
+            elif self.gone.done():
+                counts["ended_by_client"] += 1
+                ticket.ended(i.Result.CANCELLED, final=True)
+            else:
+                counts["moved" if ticket.move.done() else "moved_silent"] += 1
+                ticket.ended(i.Result.CANCELLED if ticket.move.done() else i.Result.RESET, final=True)
+                await self.move()
+        finally:
+            front.standing.discard(self)
+            down.cancel()
+            await asyncio.gather(down, return_exceptions=True)
+
+    async def move(self) -> None:
+        """Tell the client to come again; nothing follows the word."""
+        try:
+            async with asyncio.timeout(MOVE_WRITE), self.writing:
+                await send_parts(self.client.sock, [b"MOVE\r\n"])
+        except OSError:
+            self.front.counts["move_unwritten"] += 1
+
+    async def from_client(self) -> None:
+        """Pass the client's lines on once its server is there; sees the client leave at any time."""
+        client = self.client
+        try:
+            while await client.fill():
+                if not self.up.done():
+                    if client.used < len(client.buffer):
+                        continue
+                    await self.up
+                await self.pass_up()
+        except LineTooLongError:
+            log.warning("a client's line is too long: its connection ends")
+        except OSError as err:
+            log.info("writing to a server failed: %s", err)
+        finally:
+            if not self.gone.done():
+                self.gone.set_result(None)
+            if self.ticket is not None and not self.up.done():
+                self.ticket.left()
+
+    async def pass_up(self) -> None:
+        """Send the client's whole lines to its server."""
+        client, server = self.client, self.server
+        length = client.whole()
+        if not length or server is None:
+            return
+        self.asked.append(self.core.now())
+        self.front.counts["lines_up"] += client.buffer.count(b"\n", 0, length)
+        await send_parts(server.sock, [client.view[:length]])
+        client.consume(length)
+
+    async def from_server(self, ticket: Ticket) -> None:
+        """Pass the server's lines on, those that came with UP first."""
+        server, client = self.server, self.client
+        assert server is not None
+        while True:
+            if length := server.whole():
+                self.read_lines(ticket, server, length)
+                async with self.writing, asyncio.timeout(CLIENT_WRITE):
+                    await send_parts(client.sock, [server.view[:length]])
+                server.consume(length)
+            if not await server.fill():
+                return
+
+    def read_lines(self, ticket: Ticket, server: LineSocket, length: int) -> None:
+        """Look at lines from the server: load, farewell, or the echo of a client's line."""
+        start, buffer = 0, server.buffer
+        while start < length:
+            stop = buffer.find(b"\n", start, length) + 1
+            if buffer.startswith(b"LOAD ", start):
+                self.front.counts["load_lines"] += 1
+                try:
+                    ticket.load(float(buffer[start + 5 : stop]) / 1000)
+                except ValueError:
+                    log.warning("a LOAD line has no number")
+            elif buffer.startswith((b"BYE", b"MOVE"), start):
+                self.farewell = buffer[start:stop].split()[0].decode()
+            elif buffer.startswith(b"UP ", start):
+                pass
+            else:
+                self.front.counts["lines_down"] += 1
+                if self.asked:
+                    ticket.message_took(self.core.now() - self.asked.popleft())
+            start = stop
--- /dev/null
+++ b/violetdoor/net/__init__.py
@@ -0,0 +1,1 @@
+"""What all fronts share of the network: sockets, discovery, counters."""
--- /dev/null
+++ b/violetdoor/net/discovery.py
@@ -0,0 +1,142 @@
+"""The watch on discovery: one call after another on one connection, answers handed to the core."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+from collections.abc import Callable
+from typing import Any
+
+import httptools
+import orjson
+
+from lynxdeck import interface as i
+from violetdoor.net.counters import Counters
+from violetdoor.net.sockets import Address, connect, end, parse_address, send_parts
+
+log = logging.getLogger("violetdoor.discovery")
+
+HOLD_MS = 4_000  # a silent discovery is noticed this long after, plus GRACE
+GRACE = 1.9  # s past the hold until a call has failed: 2 s past it all counts as told
+CONNECT_TIMEOUT = 1.0
+BODY_MOST = 1 << 20
+STATES = {"up": i.ServerState.READY, "draining": i.ServerState.DRAINING, "removed": i.ServerState.GONE}
+
+
+class DiscoveryError(Exception):
+    """A call brought no list."""
+
+
+CALL_FAILED = (OSError, DiscoveryError, httptools.HttpParserError, ValueError, KeyError, TypeError)
+
+
+class Directory:
+    """The addresses of the servers that the list has named."""
+
+    def __init__(self) -> None:
+        self.addresses: dict[str, Address] = {}
+        self.version = 0
+
+    def read(self, data: dict[str, Any], kind: i.ListKind | None = None) -> i.ServerList:
+        """Read one answer, keep its addresses and version."""
+        if kind is None:
+            kind = i.ListKind.COMPLETE if data.get("full") else i.ListKind.CHANGES
+        entries = []
+        for line in data.get("servers") or ():
+            entry = i.ServerEntry(
+                str(line["id"]), line.get("zone") or "", line.get("kind") or "", line.get("cell") or 0,
+                STATES[line.get("state", "up")], float(line.get("weight", 1.0)),
+                float(line.get("started_ms") or 0),
+            )  # fmt: skip
+            if line.get("addr"):
+                self.addresses[entry.server] = parse_address(line["addr"])
+            entries.append(entry)
+        self.version = int(data.get("version") or 0)
+        return i.ServerList(kind, tuple(entries), self.version)
+
+
+class _Answer:
+    """Collects one HTTP answer from the parser's callbacks."""
+
+    def __init__(self) -> None:
+        self.body = bytearray()
+        self.complete = False
+
+    def on_body(self, data: bytes) -> None:
+        if len(self.body) + len(data) > BODY_MOST:
+            raise DiscoveryError("the answer is too long")
+        self.body += data
+
+    def on_message_complete(self) -> None:
+        self.complete = True
+
+
+class Watch:
+    """Asks discovery while the module wants to follow it; a failure ends the watch and is told."""
+
+    def __init__(
+        self, address: Address, directory: Directory, deliver: Callable[[i.ServerList], None],
+        counts: Counters,
+    ) -> None:  # fmt: skip
+        self.address, self.directory, self.deliver, self.counts = address, directory, deliver, counts
+        self._sock: socket.socket | None = None
+        self._task: asyncio.Task[None] | None = None
+        self._buffer = bytearray(16 * 1024)
+
+    def follow(self) -> None:
+        """Start to watch, unless that runs already."""
+        if self._task is None or self._task.done():
+            self._task = asyncio.get_running_loop().create_task(self._run())
+
+    async def stop(self) -> None:
+        """End the watch."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        self._drop()
+
+    async def _run(self) -> None:
+        while True:
+            self.counts["discovery_calls"] += 1
+            try:
+                async with asyncio.timeout(HOLD_MS / 1000 + GRACE):
+                    data = orjson.loads(await self._call())
+                servers = self.directory.read(data)
+            except CALL_FAILED as err:
+                self.counts["discovery_failed"] += 1
+                log.warning("discovery call failed: %s %s", type(err).__name__, err)
+                self._drop()
+                # The module asks again in its own time: it spreads the calls of many relays and backs off.
+                self.deliver(i.ServerList(i.ListKind.REFUSED))
+                return
+            if servers.entries:
+                self.counts["discovery_changes"] += len(servers.entries)
+            self.deliver(servers)
+
+    async def _call(self) -> bytes:
+        version = self.directory.version
+        query = f"?from={version}&hold_ms={HOLD_MS}" if version else ""
+        host = f"{self.address[0]}:{self.address[1]}"
+        if self._sock is None:
+            self._sock = await connect(self.address, CONNECT_TIMEOUT)
+        head = f"GET /api/targets{query} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n"
+        await send_parts(self._sock, [head.encode()])
+        answer = _Answer()
+        parser = httptools.HttpResponseParser(answer)
+        loop = asyncio.get_running_loop()
+        while not answer.complete:
+            got = await loop.sock_recv_into(self._sock, self._buffer)
+            if not got:
+                raise DiscoveryError("the connection ended before the answer")
+            parser.feed_data(memoryview(self._buffer)[:got])
+        if not parser.should_keep_alive():
+            self._drop()
+        if (status := parser.get_status_code()) != 200:
+            raise DiscoveryError(f"status {status}")
+        return bytes(answer.body)
+
+    def _drop(self) -> None:
+        if self._sock is not None:
+            end(self._sock)
+            self._sock = None
--- /dev/null
+++ b/violetdoor/net/sockets.py
@@ -0,0 +1,122 @@
+"""Socket helpers on asyncio's socket calls: listen, connect, gathered writes, buffered lines."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import struct
+from collections.abc import Sequence
+
+LINE_MOST = 4096  # bytes of one line, its CRLF included
+BACKLOG = 1024
+Address = tuple[str, int]
+Part = bytes | bytearray | memoryview
+
+
+def parse_address(text: str) -> Address:
+    """Split host:port."""
+    host, colon, port = text.rpartition(":")
+    if not colon or not port.isdigit() or not 0 <= int(port) < 65536:
+        raise ValueError(f"{text!r} is not host:port")
+    return host.strip("[]"), int(port)
+
+
+def listen(address: Address) -> socket.socket:
+    """Open a listening socket."""
+    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.setblocking(False)
+    sock.bind(address)
+    sock.listen(BACKLOG)
+    return sock
+
+
+async def connect(address: Address, timeout: float) -> socket.socket:
+    """Connect within the timeout or raise OSError (TimeoutError is one)."""
+    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        async with asyncio.timeout(timeout):
+            await asyncio.get_running_loop().sock_connect(sock, address)
+    except BaseException:
+        sock.close()
+        raise
+    return sock
+
+
+async def send_parts(sock: socket.socket, parts: Sequence[Part]) -> None:
+    """Write all parts in one gathered write; what the kernel did not take follows when it can."""
+    total = sum(len(p) for p in parts)
+    try:
+        sent = sock.sendmsg(parts)
+    except (BlockingIOError, InterruptedError):
+        sent = 0
+    if sent < total:
+        await asyncio.get_running_loop().sock_sendall(sock, b"".join(parts)[sent:])
+
+
+def end(sock: socket.socket, reset: bool = False) -> None:
+    """Close a connection: in order, or with a reset where the other side's was one."""
+    with contextlib.suppress(OSError):
+        if reset:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        else:
+            sock.shutdown(socket.SHUT_WR)
+    sock.close()
+
+
+class LineTooLongError(Exception):
+    """A line is longer than the protocol allows."""
+
+
+class LineSocket:
+    """A socket and the one buffer that its lines are read into and parsed in."""
+
+    __slots__ = ("buffer", "reset", "sock", "used", "view")
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock = sock
+        self.buffer = bytearray(LINE_MOST)
+        self.view = memoryview(self.buffer)
+        self.used = 0
+        self.reset = False  # it ended by a reset
+
+    async def fill(self) -> bool:
+        """Read more; False once the other side has ended, in order or not."""
+        if self.used == LINE_MOST:
+            raise LineTooLongError
+        try:
+            got = await asyncio.get_running_loop().sock_recv_into(self.sock, self.view[self.used :])
+        except ConnectionError:
+            self.reset = True
+            return False
+        except OSError:
+            return False
+        self.used += got
+        return got > 0
+
+    async def line(self) -> int:
+        """Read until a whole line stands at the start; its length with its end, or 0 at the end."""
+        while not (length := self.buffer.find(b"\n", 0, self.used) + 1):
+            if not await self.fill():
+                return 0
+        return length
+
+    def whole(self) -> int:
+        """Length of all whole lines in the buffer."""
+        return self.buffer.rfind(b"\n", 0, self.used) + 1
+
+    def consume(self, length: int) -> None:
+        """Drop so many bytes from the start, keep the rest."""
+        rest = self.used - length
+        if rest:
+            self.buffer[:rest] = self.buffer[length : self.used]
+        self.used = rest
+
+    def close(self, reset: bool = False) -> None:
+        """End it; no read or write may be pending."""
+        end(self.sock, reset)
