--- /dev/null
+++ b/tests/standins.py
@@ -0,0 +1,255 @@
+"""Stand-ins for what is around the relay: gate servers of both protocols and discovery; and its process."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import re
+import signal
+import sys
+from collections.abc import AsyncIterator, Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+ROOT = Path(__file__).parent.parent
+Reader = asyncio.StreamReader
+Writer = asyncio.StreamWriter
+PATIENCE = 15.0
+
+
+async def until(true: Callable[[], object]) -> None:
+    """Wait for a state of a stand-in: it changes by what arrives, so looking costs little."""
+    async with asyncio.timeout(PATIENCE):
+        while not true():
+            await asyncio.sleep(0.002)
+
+
+class Standin:
+    """A listening stand-in on a port of its own."""
+
+    def __init__(self) -> None:
+        self.writers: list[Writer] = []
+        self.accepted = 0
+        self.address = ""
+
+    async def __aenter__(self) -> Any:
+        self.server = await asyncio.start_server(self._take, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self.server.close()
+        self.cut()
+
+    def cut(self) -> None:
+        """Break all connections."""
+        for writer in self.writers:
+            writer.transport.abort()
+        self.writers.clear()
+
+    async def _take(self, reader: Reader, writer: Writer) -> None:
+        self.accepted += 1
+        self.writers.append(writer)
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            await self.serve(reader, writer)
+        writer.close()
+
+    async def serve(self, reader: Reader, writer: Writer) -> None:
+        raise NotImplementedError
+
+
+class GateServer(Standin):
+    """A gate server of the line protocol; `first` answers a connection's first line."""
+
+    def __init__(self, first: bytes = b"UP r1\r\n") -> None:
+        super().__init__()
+        self.first, self.echo = first, True
+        self.opened: list[bytes] = []
+        self.ended = 0
+
+    async def serve(self, reader: Reader, writer: Writer) -> None:
+        self.opened.append(await reader.readline())
+        writer.write(self.first)
+        while line := await reader.readline():
+            if self.echo:
+                writer.write(b"re " + line)
+        self.ended += 1
+
+
+class Discovery(Standin):
+    """Answers list calls; `tell` changes the list, and what waits hears of it."""
+
+    def __init__(self, *servers: Standin) -> None:
+        super().__init__()
+        self.servers, self.version, self.calls, self.broken = servers, 1, 0, False
+        self.states = {s.address: "up" for s in servers}
+        self.changed = asyncio.Event()
+
+    def entry(self, address: str) -> dict[str, Any]:
+        return {"id": f"s-{address}", "addr": address, "zone": "a", "kind": "k", "cell": 0,
+                "state": self.states[address], "weight": 1.0, "started_ms": 0}  # fmt: skip
+
+    def listed(self) -> dict[str, Any]:
+        return {"version": self.version, "full": True, "servers": [self.entry(a) for a in self.states]}
+
+    def tell(self, server: Standin, state: str) -> None:
+        self.states[server.address] = state
+        self.version += 1
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def serve(self, reader: Reader, writer: Writer) -> None:
+        while request := await reader.readline():
+            while (await reader.readline()).strip():
+                pass
+            self.calls += 1
+            if self.broken:
+                writer.write(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+                continue
+            asked = re.search(rb"from=(\d+)&hold_ms=(\d+)", request)
+            if asked and int(asked[1]) >= self.version:
+                with contextlib.suppress(TimeoutError):
+                    await asyncio.wait_for(self.changed.wait(), int(asked[2]) / 1000)
+            body = json.dumps(self.listed()).encode()
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+
+
+class NatsServer(Standin):
+    """A NATS server; those given the same `peers` list pass messages on to each other's subscribers."""
+
+    def __init__(self, peers: list[NatsServer] | None = None) -> None:
+        super().__init__()
+        self.peers = [] if peers is None else peers
+        self.peers.append(self)
+        self.subs: dict[Writer, dict[bytes, list[Any]]] = {}  # sid: subject, queue, most, delivered
+        self.published: list[bytes] = []
+        self.connects: list[dict[str, Any]] = []
+        self.silent = self.mute = False  # takes all and does nothing; does all but confirms nothing
+        self.refusal = b""
+
+    async def serve(self, reader: Reader, writer: Writer) -> None:
+        if not self.silent:
+            writer.write(b'INFO {"server_id":"S","headers":true,"max_payload":1048576}\r\n')
+        mine = self.subs.setdefault(writer, {})
+        try:
+            while line := await reader.readline():
+                op, *args = line.split() or [b""]
+                body = b""
+                if op in (b"PUB", b"HPUB"):
+                    body = (await reader.readexactly(int(args[-1]) + 2))[:-2]
+                if not self.silent:
+                    self.operate(op, args, body, line, writer, mine)
+        finally:
+            del self.subs[writer]
+
+    def operate(self, op: bytes, args: list[bytes], body: bytes, line: bytes, writer: Writer,
+                mine: dict[bytes, list[Any]]) -> None:  # fmt: skip
+        if op == b"CONNECT":
+            self.connects.append(json.loads(line[8:]))
+            writer.write(self.refusal)
+        elif op == b"PING" and not self.mute:
+            writer.write(b"PONG\r\n")
+        elif op == b"SUB":
+            mine[args[-1]] = [args[0], args[1] if len(args) == 3 else b"", 0, 0]
+        elif op == b"UNSUB" and args[0] in mine:
+            if len(args) == 2 and int(args[1]) > mine[args[0]][3]:
+                mine[args[0]][2] = int(args[1])
+            else:
+                del mine[args[0]]
+        elif op in (b"PUB", b"HPUB"):
+            head = int(args[-2]) if op == b"HPUB" else 0
+            reply = args[1] if len(args) == (4 if head else 3) else b""
+            self.published.append(body)
+            self.publish(args[0], body, head, reply)
+
+    def publish(self, subject: bytes, body: bytes, head: int = 0, reply: bytes = b"") -> None:
+        """Deliver to all that subscribe, at any peer that speaks; once to each queue group."""
+        done: set[bytes] = set()
+        for peer in self.peers:
+            for writer, subs in peer.subs.items():
+                for sid, sub in list(subs.items()):
+                    if peer.silent or not matches(sub[0], subject) or sub[1] in done:
+                        continue
+                    done |= {sub[1]} - {b""}
+                    sub[3] += 1
+                    if sub[3] == sub[2]:
+                        del subs[sid]
+                    words = [b"HMSG" if head else b"MSG", subject, sid, *([reply] if reply else [])]
+                    words += [b"%d" % head] * bool(head) + [b"%d" % len(body)]
+                    writer.write(b" ".join(words) + b"\r\n" + body + b"\r\n")
+
+    def say(self, line: bytes) -> None:
+        """Say something on all connections."""
+        for writer in self.writers:
+            writer.write(line)
+
+
+def matches(pattern: bytes, subject: bytes) -> bool:
+    return bool(re.fullmatch(re.escape(pattern).replace(rb"\*", rb"[^.]+").replace(rb">", rb".+"), subject))
+
+
+class Relay:
+    """The program as a process."""
+
+    def __init__(self, process: asyncio.subprocess.Process) -> None:
+        self.process, self.address, self.lines = process, ("127.0.0.1", 0), list[str]()
+        self.reading = asyncio.create_task(self._read())
+
+    async def _read(self) -> None:
+        assert self.process.stderr is not None
+        while line := (await self.process.stderr.readline()).decode():
+            self.lines.append(line)
+            if found := re.search(r"listening on ([\d.]+):(\d+)", line):
+                self.address = (found[1], int(found[2]))
+
+    def logged(self, text: str) -> int:
+        return sum(text in line for line in self.lines)
+
+    async def counters(self) -> dict[str, int]:
+        """Ask for the counters."""
+        before = self.logged("counters:")
+        self.process.send_signal(signal.SIGUSR1)
+        await until(lambda: self.logged("counters:") > before)
+        last = [line for line in self.lines if "counters:" in line][-1]
+        return {k: int(v) for k, v in re.findall(r"(\w+)=(\d+)", last)}
+
+    async def stop(self) -> int:
+        """End it as the platform does; its exit status."""
+        with contextlib.suppress(ProcessLookupError):
+            self.process.terminate()
+        async with asyncio.timeout(PATIENCE):
+            status = await self.process.wait()
+            await self.reading
+        return status
+
+    async def open(self) -> tuple[Reader, Writer]:
+        return await asyncio.open_connection(*self.address)
+
+
+@contextlib.asynccontextmanager
+async def relay(*args: str, **env: str) -> AsyncIterator[Relay]:
+    """Start the program, wait until it listens, see that it ended well and without a fault."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "violetdoor", *args, cwd=ROOT, env=os.environ | env,
+        stderr=asyncio.subprocess.PIPE,
+    )  # fmt: skip
+    it = Relay(process)
+    try:
+        await until(lambda: it.address[1] or process.returncode is not None)
+        yield it
+    finally:
+        status = await it.stop()
+    assert status == 0, it.lines
+    assert not it.logged("Traceback"), "".join(it.lines)
+
+
+def run(test: Callable[[], Awaitable[None]]) -> None:
+    """Run one test's coroutine; nothing may hang."""
+
+    async def bounded() -> None:
+        async with asyncio.timeout(4 * PATIENCE):
+            await test()
+
+    asyncio.run(bounded())
--- /dev/null
+++ b/tests/test_nats.py
@@ -0,0 +1,345 @@
+"""The NATS front: a real process between stand-in servers and clients, nats-py among them."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import subprocess
+import sys
+from collections import Counter
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import nats
+import pytest
+from nats.aio.msg import Msg
+from standins import ROOT, NatsServer, Reader, Relay, Writer, relay, run, until
+
+CONFIG = """
+listen = "127.0.0.1:0"
+{discovery}
+retry_after_ms = 50
+[nats]
+ping_interval = 0.1
+silence = 0.4
+connect_deadline = 2
+leave = 1
+{options}
+[[classes]]
+name = "booking"
+aim_ms = 500
+deadline_ms = {deadline}
+[[tenants]]
+name = "qurum-fit"
+class = "booking"
+users = ["app", ""]
+"""
+
+
+@contextlib.asynccontextmanager
+async def front(
+    tmp_path: Path, *servers: NatsServer, options: str = "", deadline: int = 3000, discovery: str = ""
+) -> AsyncIterator[Relay]:
+    text = CONFIG.format(options=options, deadline=deadline, discovery=discovery)
+    text += "".join(f'[[servers]]\naddr = "{s.address}"\n' for s in servers)
+    path = tmp_path / "nats.toml"
+    path.write_text(text)
+    async with relay("--config", str(path)) as it:
+        yield it
+
+
+class Client:
+    """A client that speaks the protocol by hand."""
+
+    def __init__(self, reader: Reader, writer: Writer) -> None:
+        self.reader, self.writer = reader, writer
+        self.info: dict[str, object] = {}
+
+    @classmethod
+    async def connect(cls, it: Relay, **values: object) -> Client:
+        self = cls(*await it.open())
+        self.info = json.loads((await self.line())[5:])
+        self.send(b"CONNECT " + json.dumps({"verbose": False, "headers": True} | values).encode())
+        return self
+
+    def send(self, *lines: bytes) -> None:
+        self.writer.write(b"".join(line + b"\r\n" for line in lines))
+
+    async def line(self) -> bytes:
+        """The next line; nothing at the end, a blank for an empty line."""
+        async with asyncio.timeout(10):
+            line = await self.reader.readline()
+        return line and (line.rstrip() or b" ")
+
+    async def flush(self) -> list[bytes]:
+        """PING, and all lines up to the PONG."""
+        self.send(b"PING")
+        lines: list[bytes] = []
+        while (line := await self.line()) != b"PONG":
+            assert line, f"the relay closed after {lines}"
+            lines.append(line)
+        return lines
+
+    def publish(self, text: str, identity: str = "", reply: str = "") -> None:
+        head = f"NATS/1.0\r\nNats-Msg-Id: {identity}\r\n\r\n" if identity else ""
+        sizes = f"{len(head)} {len(head) + len(text)}" if head else f"{len(text)}"
+        self.send(f"{'HPUB' if head else 'PUB'} feed {reply} {sizes}".encode(), (head + text).encode())
+
+
+def test_nats_py_subscribes_publishes_asks_and_drains(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with NatsServer() as server, front(tmp_path, server) as it:
+            client = await nats.connect(f"nats://app:secret@{it.address[0]}:{it.address[1]}")
+            feed = await client.subscribe("feed.*")
+
+            async def answer(message: Msg) -> None:
+                await message.respond(b"yes " + message.data)
+
+            answering = await client.subscribe("ask", cb=answer)
+            for n in range(50):
+                await client.publish("feed.a", b"%d" % n, headers={"K": "v"})
+            await client.flush()
+            assert [(await feed.next_msg(2)).data for _ in range(50)] == [b"%d" % n for n in range(50)]
+            assert (await client.request("ask", b"?", timeout=2)).data == b"yes ?"
+            await answering.unsubscribe()
+            await client.drain()
+            assert server.connects[0]["user"] == "app" and server.connects[0]["verbose"] is False
+            assert (await it.counters())["publications"] == 52
+
+    run(test)
+
+
+def test_subscription_survives_a_silent_server_and_nothing_comes_twice(tmp_path: Path) -> None:
+    """Guards against a server that accepts and then says nothing: it looks alive to TCP."""
+
+    async def test() -> None:
+        peers: list[NatsServer] = []
+        async with NatsServer(peers) as one, NatsServer(peers) as two, front(tmp_path, one, two) as it:
+            client = await nats.connect(f"nats://{it.address[0]}:{it.address[1]}")
+            got: Counter[bytes] = Counter()
+
+            async def take(message: Msg) -> None:
+                got[message.data] += 1
+
+            await client.subscribe("feed", cb=take)
+            await client.flush()
+            first, other = (one, two) if one.subs else (two, one)
+            for n in range(100):
+                first.publish(b"feed", b"%d" % n)
+            await until(lambda: len(got) == 100)
+            first.silent = True
+            for n in range(100, 110):  # nobody holds the subscription: these are lost, and only these
+                other.publish(b"feed", b"%d" % n)
+            await until(lambda: any(other.subs.values()))
+            first.silent = False  # what it may still say must not reach the client
+            for n in range(110, 200):
+                other.publish(b"feed", b"%d" % n)
+            await until(lambda: got[b"199"])
+            assert set(got.values()) == {1}, "duplicates"
+            assert {int(n) for n in got} == set(range(100)) | set(range(110, 200))
+            assert client.is_connected and client.stats["reconnects"] == 0
+            assert (await it.counters())["nats_silent"] == 1
+            await client.close()
+
+    run(test)
+
+
+def test_retried_publications_reach_a_subscriber_once(tmp_path: Path) -> None:
+    """Guards against a message seen twice: the first server passed it on but never confirmed it."""
+
+    async def test() -> None:
+        peers: list[NatsServer] = []
+        async with NatsServer(peers) as one, NatsServer(peers) as two, front(tmp_path, one, two) as it:
+            reader, writer = await Client.connect(it), await Client.connect(it)
+            reader.send(b"SUB feed 7")
+            writer.send(b"SUB inbox 9")
+            await reader.flush()
+            await writer.flush()
+            first = next(s for s in (one, two) if any(b"9" in subs for subs in s.subs.values()))
+            other = two if first is one else one
+            first.mute = True
+            for n in range(30):
+                writer.publish(f"with-{n}", identity=f"id-{n}")
+            writer.publish("plain")
+            writer.publish("asks", reply="inbox")
+            await until(lambda: len(first.published) == 32)
+            await until(lambda: len(other.published) == 30)
+            first.mute = False
+            lines = [*await writer.flush(), *await writer.flush()]
+            assert [line for line in lines if line.startswith((b"HMSG", b"NATS"))] == [
+                b"HMSG inbox 9 16 16", b"NATS/1.0 503",
+            ]  # fmt: skip
+            other.publish(b"feed", b"last")
+            first.publish(b"none", b"")
+            lines = []
+            while b"last" not in lines:
+                lines.append(await reader.line())
+            seen = Counter(line for line in lines if line.startswith((b"with-", b"plain", b"asks")))
+            counts = await it.counters()
+            assert set(seen.values()) == {1}, "duplicates"
+            assert len(seen) == 32, "lost"
+            assert counts["messages_repeated"] == 30 and counts["publications_resent"] == 30
+            assert counts["publications_given_up"] == 1 and counts["publications_503"] == 1
+
+    run(test)
+
+
+def test_counts_of_unsub_and_queue_groups_outlive_a_server(tmp_path: Path) -> None:
+    async def test() -> None:
+        peers: list[NatsServer] = []
+        async with NatsServer(peers) as one, NatsServer(peers) as two, front(tmp_path, one, two) as it:
+            client = await Client.connect(it)
+            client.send(b"SUB feed workers 1", b"UNSUB 1 3", b"SUB feed 2", b"UNSUB 2")
+            await client.flush()
+            first, other = (one, two) if any(one.subs.values()) else (two, one)
+            for n in range(2):
+                first.publish(b"feed", b"%d" % n)
+            assert [await client.line() for _ in range(4)][1::2] == [b"0", b"1"]
+            first.cut()
+            await client.flush()
+            subs = next(s for server in (one, two) for s in server.subs.values() if s)
+            assert list(subs.values()) == [[b"feed", b"workers", 1, 0]]
+            for n in range(2, 5):
+                other.publish(b"feed", b"%d" % n)
+            assert [await client.line(), await client.line()] == [b"MSG feed 1 1", b"2"]
+            assert await client.flush() == []
+
+    run(test)
+
+
+def test_planned_move_loses_nothing(tmp_path: Path) -> None:
+    """A server in lame-duck mode is left behind a fence: what it had in flight arrives."""
+
+    async def test() -> None:
+        peers: list[NatsServer] = []
+        async with NatsServer(peers) as one, NatsServer(peers) as two, front(tmp_path, one, two) as it:
+            client = await Client.connect(it)
+            client.send(b"SUB feed 1")
+            await client.flush()
+            first, other = (one, two) if one.subs else (two, one)
+            first.say(b'INFO {"ldm":true}\r\n')
+            for n in range(40):
+                client.publish(f"m{n}")
+                if n % 10 == 0:
+                    first.publish(b"feed", b"d%d" % n)
+            lines = await client.flush()
+            assert Counter(line for line in lines if line[:1] in b"md") == Counter(
+                [b"m%d" % n for n in range(40)] + [b"d%d" % n for n in range(0, 40, 10)]
+            )
+            await until(lambda: not first.subs and any(other.subs.values()))
+            assert (await it.counters())["nats_moved"] == 1
+
+    run(test)
+
+
+def test_leaving_warns_then_closes_behind_a_fence(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with NatsServer() as server, front(tmp_path, server) as it:
+            client = await Client.connect(it)
+            client.send(b"SUB feed 1")
+            await client.flush()
+            it.process.terminate()
+            assert b'"ldm":true' in await client.line()
+            client.publish("late")
+            assert [await client.line() for _ in range(3)] == [b"MSG feed 1 4", b"late", b""]
+            assert await it.process.wait() == 0
+
+    run(test)
+
+
+def test_refusal_deadline_and_no_server_end_in_one_error(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with NatsServer() as server:
+            server.refusal = b"-ERR 'maximum connections exceeded'\r\n"
+            async with front(tmp_path, server, deadline=400) as it:
+                client = await Client.connect(it)
+                assert await client.line() == b"-ERR 'Maximum Connections Exceeded'"
+                assert await client.line() == b""
+                server.refusal = b"-ERR 'Authorization Violation'\r\n"
+                client = await Client.connect(it)
+                assert [await client.line(), await client.line()] == [b"-ERR 'Authorization Violation'", b""]
+                client = await Client.connect(it, user="stranger")
+                assert [await client.line(), await client.line()] == [b"-ERR 'Authorization Violation'", b""]
+        async with NatsServer() as server:
+            server.silent = True
+            async with front(tmp_path, server, deadline=300) as it:
+                client = await Client.connect(it)
+                assert [await client.line(), await client.line()] == [b"-ERR 'Placement Timeout'", b""]
+        async with front(tmp_path, deadline=200, discovery='discovery = "127.0.0.1:9"') as it:
+            client = await Client.connect(it)
+            assert [await client.line(), await client.line()] == [b"-ERR 'No Servers Available'", b""]
+
+    run(test)
+
+
+@pytest.mark.parametrize(
+    ("sent", "text"),
+    [
+        (b"NONSENSE 1", b"Unknown Protocol Operation"),
+        (b"PUB feed", b"Parser Error"),
+        (b"PUB feed x", b"Parser Error"),
+        (b"HPUB feed 9 4\r\nabcd", b"Parser Error"),
+        (b"PUB feed 2\r\nabcd", b"Parser Error"),
+        (b"UNSUB 1 x", b"Parser Error"),
+        (b"CONNECT {", b"Parser Error"),
+        (b"PUB feed 65537", b"Maximum Payload Violation"),
+        (b"SUB " + b"x" * 5000, b"Maximum Control Line Exceeded"),
+    ],
+)
+def test_malformed_input_ends_one_client_only(tmp_path: Path, sent: bytes, text: bytes) -> None:
+    async def test() -> None:
+        async with NatsServer() as server, front(tmp_path, server) as it:
+            bad, good = await Client.connect(it), await Client.connect(it)
+            bad.send(b"SUB feed..x 1", b"PING", sent)
+            lines = [await bad.line() for _ in range(4)]
+            assert lines[0] == b"-ERR 'Invalid Subject'"
+            assert lines[-1] == b"" and b"-ERR '" + text + b"'" in lines
+            assert await good.flush() == []
+
+    run(test)
+
+
+def test_slow_consumer_stale_client_and_full_house(tmp_path: Path) -> None:
+    """Guards against clients that take nothing, say nothing, or are too many."""
+
+    async def test() -> None:
+        options = "max_pending = 65536\nwrite_deadline = 0.3\nclient_ping = 0.5"
+        async with NatsServer() as server, front(tmp_path, server, options=options) as it:
+            stale = await Client.connect(it)
+            await stale.flush()
+            assert [await stale.line() for _ in range(3)] == [b"PING", b"-ERR 'Stale Connection'", b""]
+            slow = await Client.connect(it)
+            slow.send(b"SUB feed 1")
+            await slow.flush()
+            sent = 0
+            while "nats_errors" not in await it.counters() or (await it.counters())["nats_errors"] < 2:
+                server.publish(b"feed", b"x" * 60_000)
+                sent += 1
+            rest = await slow.reader.read(-1)
+            assert rest.endswith(b"-ERR 'Slow Consumer'\r\n") and rest.count(b"MSG") < sent
+        async with NatsServer() as server, front(tmp_path, server, discovery="sockets = 50") as it:
+            first = await Client.connect(it)
+            await first.flush()
+            second = await Client.connect(it)
+            assert await second.line() == b"-ERR 'maximum connections exceeded'"
+
+    run(test)
+
+
+@pytest.mark.parametrize(
+    ("text", "names"),
+    [("listen = ", "Invalid value"), ('listen = "x"', "classes"),
+     (CONFIG.format(options="silnce = 1", deadline=1,
+     discovery='discovery="127.0.0.1:1"'), "silnce"), (CONFIG.format(options="max_payload = -1", deadline=1,
+     discovery='discovery="127.0.0.1:1"'), "nats.max_payload")],
+)  # fmt: skip
+def test_bad_configuration_is_one_plain_line(tmp_path: Path, text: str, names: str) -> None:
+    path = tmp_path / "bad.toml"
+    path.write_text(text)
+    done = subprocess.run(
+        [sys.executable, "-m", "violetdoor", "--config", str(path)],
+        capture_output=True, text=True, cwd=ROOT, check=False, timeout=20,
+    )  # fmt: skip
+    assert done.returncode == 2 and done.stdout == ""
+    assert len(done.stderr.splitlines()) == 1 and names in done.stderr and "Traceback" not in done.stderr
--- a/violetdoor/config.py
+++ b/violetdoor/config.py
@@ -1,9 +1,16 @@
-"""The platform's configuration: read once, into the few values that the program uses."""
+"""The configuration, read once into the few values that the program uses.
+
+The platform tells a relay by its environment and a JSON file; an operator of the NATS front by a TOML file.
+"""
 
 from __future__ import annotations
 
 import os
-from dataclasses import dataclass
+import secrets
+import socket
+import tomllib
+from collections.abc import Mapping
+from dataclasses import dataclass, fields
 from pathlib import Path
 from typing import Any
 
@@ -11,6 +18,7 @@
 
 from lynxdeck import interface as i
 from lynxdeck.wirehost import settings_from
+from violetdoor.fronts.nats.front import NatsOptions
 from violetdoor.net.sockets import Address, parse_address
 
 
@@ -20,18 +28,19 @@
 
 @dataclass(slots=True, frozen=True)
 class Config:
-    """What one relay runs by; times in seconds."""
+    """What one relay runs by; times in seconds, the classes' deadlines in milliseconds."""
 
     name: str
     listen: Address
-    discovery: Address
+    discovery: Address | None  # none: the known list is all there is
     seed: int
     settings: i.Settings
-    known: dict[str, Any]
+    known: dict[str, Any]  # a list of servers in discovery's form
     sockets: int
     connect_timeout: float
-    longest_deadline: float
+    deadlines: dict[str, float]
     tells_delay: bool
+    nats: NatsOptions | None = None  # none: the front is that of the line protocol
 
 
 def from_platform() -> Config:
@@ -52,10 +61,100 @@
             known=data.get("known") or {},
             sockets=int(data.get("limits", {}).get("sockets", 1024)),
             connect_timeout=facts.get("policyLimits", {}).get("connectTimeout", 200.0) / 1000,
-            longest_deadline=max((c["hardLimit"] for c in facts["classes"]), default=3000.0) / 1000,
+            deadlines={c["name"]: float(c["hardLimit"]) for c in facts["classes"]},
             tells_delay=bool(facts.get("familyInfo", {}).get("tellsDelay")),
         )
     except OSError as err:
         raise ConfigError(f"{path}: {err.strerror}") from err
     except (ValueError, KeyError, TypeError, AttributeError) as err:
         raise ConfigError(f"{path}: {type(err).__name__} {err}") from err
+
+
+TOP = {"name", "listen", "discovery", "zone", "relays", "sockets", "attempts", "retry_after_ms", "nats",
+       "classes", "tenants", "servers"}  # fmt: skip
+CLASS = {"name", "worth", "aim_ms", "deadline_ms", "message_aim_ms"}
+TENANT = {"name", "class", "users"}
+SERVER = {"id", "addr", "zone", "kind", "cell", "weight"}
+OPTIONS = {f.name for f in fields(NatsOptions)} - {"tenants"}
+ASK_WITHIN = 10_000.0  # ms within which a failed discovery call is followed by another
+
+
+def from_operator(path: Path) -> Config:
+    """Read an operator's file for the NATS front."""
+    try:
+        data = tomllib.loads(path.read_text())
+        return _operator(data)
+    except OSError as err:
+        raise ConfigError(f"{path}: {err.strerror}") from err
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as err:
+        raise ConfigError(f"{path}: {err}") from err
+    except KeyError as err:
+        raise ConfigError(f"{path}: {err.args[0]!r} is missing") from err
+    except (ValueError, TypeError, AttributeError) as err:
+        raise ConfigError(f"{path}: {err}") from err
+
+
+def _known_keys(table: Mapping[str, Any], allowed: set[str], where: str) -> None:
+    if not isinstance(table, dict):
+        raise TypeError(f"{where} is no table")
+    if unknown := sorted(set(table) - allowed):
+        raise ValueError(f"{where} has the unknown key {unknown[0]!r}")
+
+
+def _positive(value: Any, where: str) -> float:
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or not value > 0:
+        raise ValueError(f"{where} is not a number above 0")
+    return float(value)
+
+
+def _operator(data: dict[str, Any]) -> Config:
+    _known_keys(data, TOP, "the file")
+    deadlines, classes = {}, []
+    for c in data["classes"]:
+        _known_keys(c, CLASS, "a class")
+        name, aim = c["name"], _positive(c["aim_ms"], "aim_ms")
+        deadlines[name] = _positive(c["deadline_ms"], "deadline_ms")
+        classes.append({"name": name, "goalTime": aim, "worth": _positive(c.get("worth", 1.0), "worth")})
+    aims = [_positive(c.get("message_aim_ms", c["aim_ms"]), "message_aim_ms") for c in data["classes"]]
+    tenants: dict[str, tuple[str, str]] = {}
+    for t in data["tenants"]:
+        _known_keys(t, TENANT, "a tenant")
+        if t["class"] not in deadlines:
+            raise ValueError(f"tenant {t['name']!r} has the unknown class {t['class']!r}")
+        tenants.update({user: (t["name"], t["class"]) for user in t["users"]})
+    servers = data.get("servers", [])
+    for line in servers:
+        _known_keys(line, SERVER, "a server")
+        parse_address(line["addr"])
+        _positive(line.get("weight", 1.0), "weight")
+    if ("discovery" in data) == bool(servers):
+        raise ValueError("either discovery or servers is wanted")
+    zone = data.get("zone", "")
+    facts = {
+        "classes": classes, "familyInfo": {"messageAim": aims}, "locality": zone,
+        "balancers": int(_positive(data.get("relays", 1), "relays")),
+        "discovery": "on_request" if "discovery" in data else "pushed",
+        "policyLimits": {"sendCap": int(_positive(data.get("attempts", 3), "attempts")), "retryAfter": True,
+                         "maxRetryAfter": _positive(data.get("retry_after_ms", 1500.0), "retry_after_ms")},
+        "rules": {"askWithin": ASK_WITHIN}, "report": {"how": "none"},
+    }  # fmt: skip
+    nats = data.get("nats", {})
+    _known_keys(nats, OPTIONS, "nats")
+    whole = {f.name for f in fields(NatsOptions) if f.type == "int"}
+    values = {k: _positive(v, f"nats.{k}") for k, v in nats.items()}
+    typed: dict[str, Any] = {k: int(v) if k in whole else v for k, v in values.items()}
+    options = NatsOptions(tenants=tenants, **typed)
+    lines = [{"zone": zone, "id": s.get("id", s["addr"]), **s} for s in servers]
+    return Config(
+        name=data.get("name") or socket.gethostname(),
+        listen=parse_address(data["listen"]),
+        discovery=parse_address(data["discovery"]) if "discovery" in data else None,
+        seed=secrets.randbits(64),
+        settings=settings_from(facts),
+        known={"version": 0, "full": True, "servers": lines},
+        sockets=int(_positive(data.get("sockets", 1024), "sockets")),
+        connect_timeout=options.connect_timeout,
+        deadlines=deadlines,
+        tells_delay=True,
+        nats=options,
+    )
--- a/violetdoor/core/controller.py
+++ b/violetdoor/core/controller.py
@@ -10,7 +10,7 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from lynxdeck import interface as i
 from lynxdeck.policy import Balancer
@@ -18,6 +18,8 @@
 
 log = logging.getLogger("violetdoor.core")
 
+DRAIN_BELIEVED = 30.0  # s after which a server that said it drains may be asked again, if the list has it
+
 Prober = Callable[[str], Awaitable[i.Probed]]
 
 
@@ -127,7 +129,7 @@
         self.balancer = Balancer(settings, seed, clock())
         self.tickets: dict[int, Ticket] = {}
         self.standing: dict[str, dict[int, Ticket]] = {}  # by server
-        self.states: dict[str, i.ServerState] = {}
+        self.entries: dict[str, i.ServerEntry] = {}
         self.follow: Callable[[], None] = lambda: None
         self.prober: Prober | None = None
         self.faults = 0
@@ -141,17 +143,35 @@
     def listed(self, servers: i.ServerList) -> None:
         """The list, a change of it, or a call for it that failed."""
         if servers.kind.whole:
-            self.states.clear()
+            self.entries.clear()
         for entry in servers.entries:
             if entry.state is i.ServerState.GONE:
-                self.states.pop(entry.server, None)
+                self.entries.pop(entry.server, None)
             else:
-                self.states[entry.server] = entry.state
+                self.entries[entry.server] = entry
         self.handle(servers)
 
     def may_send(self, server: str) -> bool:
         """Whether new work may go there now; ask again just before the first byte."""
-        return self.states.get(server) is i.ServerState.READY
+        entry = self.entries.get(server)
+        return entry is not None and entry.state is i.ServerState.READY
+
+    def drains(self, server: str) -> None:
+        """A server said itself that it drains: as if the list had told, until the list or time says more."""
+        entry = self.entries.get(server)
+        if entry is None or entry.state is not i.ServerState.READY:
+            return
+        drained = replace(entry, state=i.ServerState.DRAINING)
+        self.listed(i.ServerList(i.ListKind.CHANGES, (drained,)))
+        self.loop.call_later(DRAIN_BELIEVED, self._drained_enough, drained, entry)
+
+    def _drained_enough(self, drained: i.ServerEntry, entry: i.ServerEntry) -> None:
+        if self.entries.get(entry.server) is drained:
+            self.listed(i.ServerList(i.ListKind.CHANGES, (entry,)))
+
+    def any_ready(self) -> bool:
+        """Whether the list names any server that takes new work."""
+        return any(e.state is i.ServerState.READY for e in self.entries.values())
 
     def arrive(
         self, cls: str, time_left: float, tenant: str, key: int | None, load: float | None,
--- a/violetdoor/fronts/line/front.py
+++ b/violetdoor/fronts/line/front.py
@@ -3,25 +3,27 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import logging
-import random
 import socket
 
 from lynxdeck import interface as i
 from violetdoor.core import Controller
 from violetdoor.fronts.line.session import Session
+from violetdoor.net.acceptor import Acceptor, due
 from violetdoor.net.counters import Counters
 from violetdoor.net.discovery import Directory
-from violetdoor.net.sockets import Address, LineSocket, LineTooLongError, connect, listen, send_parts
+from violetdoor.net.sockets import Address, LineSocket, LineTooLongError, connect, send_parts
 
 log = logging.getLogger("violetdoor.line")
 
 SILENT = 3_500.0  # ms without any answer to a client's line after which its server counts as silent
 SWEEP = 0.25  # s between two looks for silent servers
-ACCEPT_PAUSE = 0.05  # s until the next try when no descriptor was free
-RESERVED = 48  # descriptors kept for discovery, probes, the log and answers to clients over the limit
 PROBE_TIMEOUT = 0.5
+MOST_DEADLINE, KILL_AFTER = 3.0, 0.7  # s: SIGKILL comes no sooner than the longest deadline, this at most,
+# plus this much after SIGTERM.
+CALM_EXIT = 0.2  # s before the kill by which the program is gone
+STILL_COMING = 0.45  # s after SIGTERM for which the front layer still sends connections
+MOVED_PART, STEP = 0.7, 0.05  # part of that time by which all standing clients are moved; s between steps
 LEAVE_RETRY = 300  # ms after which a client may come again that arrives while the program leaves
 
 
@@ -30,54 +32,37 @@
 
     def __init__(
         self, address: Address, core: Controller, directory: Directory, counts: Counters,
-        connect_timeout: float, sockets: int,
+        connect_timeout: float, sockets: int, longest_deadline: float,
     ) -> None:  # fmt: skip
         self.core, self.directory, self.counts = core, directory, counts
         self.connect_timeout, self.leave_retry, self.idle = connect_timeout, LEAVE_RETRY, 60.0
-        self.most = max(1, (sockets - RESERVED) // 2)  # each client may need a second socket
-        self.sock = listen(address)
+        busy = b"BUSY %d\r\n" % LEAVE_RETRY
+        self.acceptor = Acceptor(address, self.session, counts, sockets, over_limit=busy)
+        self.leave_within = min(longest_deadline, MOST_DEADLINE) + KILL_AFTER - CALM_EXIT
         self.leaving = False
-        self.sessions: set[asyncio.Task[None]] = set()
         self.standing: set[Session] = set()
         core.prober = self.probe
 
-    async def accept(self) -> None:
-        """Take in clients for ever."""
-        loop = asyncio.get_running_loop()
-        while True:
-            try:
-                sock, _ = await loop.sock_accept(self.sock)
-            except OSError as err:  # EMFILE, ENFILE, ENOBUFS, or a client already gone
-                self.counts["accept_failed"] += 1
-                log.warning("accept failed: %s", err)
-                await asyncio.sleep(ACCEPT_PAUSE)
-                continue
-            self.counts["accepted"] += 1
-            task = loop.create_task(self.session(sock))
-            self.sessions.add(task)
-            task.add_done_callback(self.sessions.discard)
+    async def run(self) -> None:
+        """Take in clients and look after them for ever."""
+        await asyncio.gather(self.acceptor.run(), self.sweep())
 
-    async def session(self, sock: socket.socket) -> None:
-        """One client, whatever happens to it: its fault stays its own."""
+    async def session(self, sock: socket.socket) -> bool:
+        """Serve one client; whether its connection is to end with a reset."""
         client = LineSocket(sock)
+        session = Session(self, client)
         try:
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            if len(self.sessions) > self.most:
-                self.counts["over_limit"] += 1
-                await send_parts(sock, [b"BUSY %d\r\n" % self.leave_retry])
-                return
-            await Session(self, client).run()
-        except (OSError, LineTooLongError) as err:
-            self.counts["client_broke"] += 1
-            log.info("a client's connection broke: %s %s", type(err).__name__, err)
+            await session.run()
+        except LineTooLongError:
+            self.counts["line_too_long"] += 1
+            log.info("a client's line is too long")
+            await session.answer_fault()
+        except OSError:
+            raise
         except Exception:
-            self.counts["faults"] += 1
-            log.exception("a session failed")
-            with contextlib.suppress(OSError):
-                await send_parts(sock, [b"ERR\r\n"])
-        finally:
-            client.close(client.reset)
+            await session.answer_fault()
+            raise
+        return client.reset
 
     async def sweep(self) -> None:
         """Find the connections whose server answers nothing: their clients are moved."""
@@ -109,19 +94,16 @@
                 link.close()
         return i.Probed(server, result, self.core.now() - began)
 
-    async def leave(self, spread: float, until: float) -> None:
+    async def leave(self) -> None:
         """Answer what still arrives, let requests end, move all standing clients one after another."""
         self.leaving = True
         loop = asyncio.get_running_loop()
         began = loop.time()
-        while loop.time() < began + until and (self.sessions or loop.time() < began + spread):
-            left = max(1.0, (began + spread - loop.time()) / 0.05)
-            waiting = [s for s in self.standing if s.ticket and not s.ticket.move.done()]
-            for session in random.sample(waiting, min(len(waiting), int(len(waiting) / left) + 1)):
-                if session.ticket:
-                    session.ticket.move.set_result(None)
-            await asyncio.sleep(0.05)
-        self.sock.close()
-        for task in list(self.sessions):
-            task.cancel()
-        await asyncio.gather(*self.sessions, return_exceptions=True)
+        first, last = began + STILL_COMING, began + self.leave_within * MOVED_PART
+        while loop.time() < began + (self.leave_within if self.acceptor.tasks else STILL_COMING):
+            if loop.time() >= first:
+                tickets = [s.ticket for s in self.standing if s.ticket and not s.ticket.move.done()]
+                for ticket in due(tickets, last - loop.time(), STEP):
+                    ticket.move.set_result(None)
+            await asyncio.sleep(STEP)
+        await self.acceptor.close()
--- a/violetdoor/fronts/line/session.py
+++ b/violetdoor/fronts/line/session.py
@@ -37,6 +37,7 @@
         self.silent: asyncio.Future[None] = self.loop.create_future()
         self.asked: deque[float] = deque(maxlen=UNANSWERED_MOST)  # when lines went that have no answer yet
         self.writing = asyncio.Lock()  # held while lines go to the client: MOVE comes between them
+        self.answered = False  # the one final answer is given
         self.farewell = ""  # BYE or MOVE, once the server said it
 
     async def run(self) -> None:
@@ -61,7 +62,7 @@
         except SyntaxFaultError as err:
             front.counts["syntax"] += 1
             log.warning("bad first line: %s", err)
-            await send_parts(client.sock, [b"ERR\r\n"])
+            await self.answer("failed", b"ERR\r\n")
             return
         client.consume(length)
         front.counts["opens"] += 1
@@ -129,9 +130,17 @@
 
     async def answer(self, name: str, line: bytes) -> None:
         """Give the one final answer."""
+        self.answered = True
         self.front.counts[f"answered_{name}"] += 1
         await send_parts(self.client.sock, [line])
 
+    async def answer_fault(self) -> None:
+        """After a fault of this program: an answer where one is still owed, else a MOVE."""
+        if self.answered:
+            await self.move()
+        else:
+            await self.answer("failed", b"ERR\r\n")
+
     async def attempt(self, opening: Opening, server: str, give_up: float, named: bool = False) -> i.Result:
         """Try one server; its connection is kept when it is up, else closed. A client that leaves ends it."""
         trying = self.loop.create_task(self.try_server(opening, server, give_up, named))
@@ -193,6 +202,7 @@
         """Pass lines both ways until one side ends, the core moves the client, or the server is silent."""
         counts, front = self.front.counts, self.front
         counts["answered_up"] += 1
+        self.answered = True
         front.standing.add(self)
         self.up.set_result(None)
         down = self.loop.create_task(self.from_server(ticket))
--- /dev/null
+++ b/violetdoor/fronts/nats/__init__.py
@@ -0,0 +1,1 @@
+"""The NATS client protocol."""
--- /dev/null
+++ b/violetdoor/fronts/nats/front.py
@@ -0,0 +1,110 @@
+"""Takes in NATS clients, and sees that all are gone before the program is."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import secrets
+import socket
+from dataclasses import dataclass, field
+from typing import Any
+
+import orjson
+
+from violetdoor.core import Controller
+from violetdoor.fronts.nats.frames import error
+from violetdoor.fronts.nats.session import Session
+from violetdoor.net.acceptor import Acceptor, due
+from violetdoor.net.counters import Counters
+from violetdoor.net.discovery import Directory
+from violetdoor.net.sockets import Address, send_parts
+
+PROTOCOL_VERSION = "2.10.0"  # of the server whose protocol this front speaks
+STEP = 0.05  # s between two looks while leaving
+GRACE_PART, ENDED_PART = 0.3, 0.7  # parts of that time: clients go by themselves until; all were told by
+
+
+@dataclass(slots=True, frozen=True)
+class NatsOptions:
+    """What an operator may set; times in seconds, sizes in bytes."""
+
+    max_payload: int = 65_536
+    max_pending: int = 262_144  # queued towards one client before its server waits
+    write_deadline: float = 5.0  # that a client may take nothing before it is a slow consumer
+    connect_deadline: float = 5.0  # for a client's first operation
+    connect_timeout: float = 0.5  # of a connection to a server
+    ping_interval: float = 1.0  # between two PINGs to a server
+    silence: float = 2.0  # without a sign of life after which a server counts as silent
+    client_ping: float = 30.0  # of a client's silence before it is asked for a sign of life
+    unconfirmed_most: int = 262_144  # published and not confirmed before the client waits
+    max_subscriptions: int = 256  # of one client
+    repeat_window: int = 128  # message ids remembered for each subscription
+    leave: float = 5.0  # from the order to stop to the last connection's end
+    tenants: dict[str, tuple[str, str]] = field(default_factory=dict)  # user, or *: tenant and class
+
+
+class NatsFront:
+    """The listening socket of the NATS protocol and the sessions of its clients."""
+
+    def __init__(
+        self, address: Address, core: Controller, directory: Directory, counts: Counters,
+        options: NatsOptions, deadlines: dict[str, float], sockets: int, name: str,
+    ) -> None:  # fmt: skip
+        self.core, self.directory, self.counts = core, directory, counts
+        self.options, self.deadlines, self.name = options, deadlines, name
+        self.identity = secrets.token_hex(28).upper()
+        self.leaving = False
+        self.sessions: set[Session] = set()
+        self.numbers = itertools.count(1)
+        full = self.info(0) + error("maximum connections exceeded")
+        self.acceptor = Acceptor(address, self.session, counts, sockets, over_limit=full)
+
+    async def run(self) -> None:
+        """Take in clients for ever."""
+        await self.acceptor.run()
+
+    def info(self, number: int) -> bytes:
+        """The INFO line; while leaving it asks clients to go elsewhere."""
+        host, port = self.acceptor.address if number else ("", 0)
+        values: dict[str, Any] = {
+            "server_id": self.identity, "server_name": self.name, "version": PROTOCOL_VERSION, "proto": 1,
+            "go": "", "host": host, "port": port, "headers": True, "max_payload": self.options.max_payload,
+            "client_id": number,
+        }  # fmt: skip
+        if self.leaving:
+            values["ldm"] = True
+        return b"INFO " + orjson.dumps(values) + b"\r\n"
+
+    def tenant_of(self, user: str) -> tuple[str, str] | None:
+        """The tenant and class of a user, or nothing for one that is not let in."""
+        return self.options.tenants.get(user) or self.options.tenants.get("*")
+
+    async def session(self, sock: socket.socket) -> bool:
+        """Serve one client."""
+        number = next(self.numbers)
+        if self.leaving:
+            await send_parts(sock, [self.info(number) + error("Server Shutdown")])
+            return False
+        session = Session(self, sock, number)
+        self.sessions.add(session)
+        try:
+            await session.run()
+        finally:
+            self.sessions.discard(session)
+        return False
+
+    async def leave(self) -> None:
+        """Tell all clients that this program goes, let them go, end the rest one after another."""
+        self.leaving = True
+        for session in self.sessions:
+            session.out.put(self.info(session.number))
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        first, last = began + self.options.leave * GRACE_PART, began + self.options.leave * ENDED_PART
+        while self.sessions and loop.time() < began + self.options.leave:
+            if loop.time() >= first:
+                waiting = [s for s in self.sessions if not s.leave.done()]
+                for session in due(waiting, last - loop.time(), STEP):
+                    session.leave.set_result(None)
+            await asyncio.sleep(STEP)
+        await self.acceptor.close()
--- /dev/null
+++ b/violetdoor/fronts/nats/session.py
@@ -0,0 +1,472 @@
+"""One NATS client from its INFO to its end, over however many servers that takes.
+
+The session is one request to the core at a time: it is placed on one server, and when that server breaks,
+goes silent, or is to be left, the connection is closed before the core is asked for another.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import socket
+from collections.abc import Awaitable
+from typing import TYPE_CHECKING, TypeVar
+
+import orjson
+
+from lynxdeck import interface as i
+from violetdoor.core import Left, Ticket
+from violetdoor.fronts.nats import frames
+from violetdoor.fronts.nats.frames import CLIENT_OPS, Frame, FrameReader, ProtocolError
+from violetdoor.fronts.nats.link import DeniedError, Link
+from violetdoor.fronts.nats.state import Journal, Subscription
+from violetdoor.net.outbox import Outbox, SlowReaderError
+from violetdoor.net.sockets import connect
+
+if TYPE_CHECKING:
+    from violetdoor.fronts.nats.front import NatsFront
+
+log = logging.getLogger("violetdoor.nats")
+
+T = TypeVar("T")
+
+LEFT, SLOW = "left", "Slow Consumer"
+PINGS_OWED_MOST = 64  # PINGs that a client may send ahead of its server
+LAST_WORDS = 0.5  # s to write what is queued before a client's connection is closed
+TICK = 0.05  # s between two looks at a connection's liveness
+NEARLY = 50.0  # ms before a deadline at which a refusal counts as the deadline's
+PASSED_ON = ("permissions violation", "invalid subject", "maximum subscriptions")  # errors that close nothing
+
+
+class Session:
+    """The life of one NATS client."""
+
+    def __init__(self, front: NatsFront, sock: socket.socket, number: int) -> None:
+        self.front, self.core, self.options, self.counts = front, front.core, front.options, front.counts
+        self.number, self.loop = number, asyncio.get_running_loop()
+        self.sock = sock
+        self.reader = FrameReader(sock, CLIENT_OPS, self.options.max_payload)
+        self.out = Outbox(sock, self.options.max_pending, self.options.write_deadline)
+        self.subscriptions: dict[bytes, Subscription] = {}
+        self.journal = Journal()
+        self.link: Link | None = None  # where the client's operations go; None while there is no server
+        self.linked = asyncio.Event()
+        self.confirmed = asyncio.Event()
+        self.gone: asyncio.Future[str] = self.loop.create_future()  # the client ends, with this -ERR
+        self.pings_owed = 0  # PINGs of the client that the next server has to answer
+        self.verbose, self.headers, self.upstream_connect = True, False, b""
+        self.leave: asyncio.Future[None] = self.loop.create_future()  # the program wants it to end
+        self.tenant, self.cls = "", ""
+
+    async def run(self) -> None:
+        """Greet the client, place it, and place it anew for as long as it stays."""
+        listener: asyncio.Task[None] | None = None
+        last = ""
+        try:
+            self.out.put(self.front.info(self.number))
+            first = await self.first_frame()
+            if first is None:
+                return
+            listener = self.loop.create_task(self.from_client(first))
+            again = False
+            while not last:
+                ticket = self.core.arrive(
+                    self.cls, self.front.deadlines[self.cls], self.tenant, None, None, None, False, again
+                )
+                try:
+                    link, last = await self.place(ticket)
+                    if link is not None:
+                        again = True
+                        last = await self.stay(ticket, link)
+                finally:
+                    ticket.close()
+        except (ProtocolError, DeniedError) as err:
+            last = str(err)
+        except Exception:
+            last = "Internal Error"
+            raise
+        finally:
+            if listener is not None:
+                listener.cancel()
+                await asyncio.gather(listener, return_exceptions=True)
+            if last and last != LEFT:
+                self.counts["nats_errors"] += 1
+                if last == SLOW:
+                    self.out.drop_queued()
+                self.out.put(frames.error(last))
+            await self.out.finish(LAST_WORDS)
+
+    async def first_frame(self) -> Frame | None:
+        """Read what the client begins with; its CONNECT says who it is."""
+        try:
+            async with asyncio.timeout(self.options.connect_deadline):
+                frame = await self.reader.frame()
+        except TimeoutError as err:
+            raise ProtocolError("Authentication Timeout") from err
+        if frame is not None:
+            self.connect(frame.args[0] if frame.op == "CONNECT" else b"{}")
+        return frame
+
+    def connect(self, text: bytes) -> None:
+        """Read the client's CONNECT; the server gets it as it is but for what concerns this connection."""
+        try:
+            values = orjson.loads(text)
+            if not isinstance(values, dict):
+                raise ValueError
+        except ValueError as err:
+            raise ProtocolError("Parser Error") from err
+        self.verbose = bool(values.get("verbose", True))
+        self.headers = bool(values.get("headers", False))
+        who = self.front.tenant_of(str(values.get("user") or ""))
+        if who is None:
+            raise DeniedError("Authorization Violation")
+        self.tenant, self.cls = who
+        upstream = values | {"verbose": False, "tls_required": False, "headers": True, "protocol": 1}
+        upstream["no_responders"] = bool(values.get("no_responders")) and self.headers
+        self.upstream_connect = b"CONNECT " + orjson.dumps(upstream) + b"\r\n"
+
+    # Placement.
+
+    async def place(self, ticket: Ticket) -> tuple[Link | None, str]:
+        """Ask the core where to go until a server is up, or give the text of the last answer."""
+        timed_out = False
+        while True:
+            choice = await self.unless_gone(ticket.decision())
+            match choice:
+                case None | Left():
+                    ticket.left()
+                    return None, self.gone.result()
+                case i.Fail() | i.Refuse():
+                    self.counts["nats_refused"] += 1
+                    if not self.core.any_ready():
+                        return None, "No Servers Available"
+                    late = timed_out or self.core.now() > ticket.deadline - NEARLY
+                    return None, "Placement Timeout" if late else "Maximum Connections Exceeded"
+                case i.Send():
+                    link, result = await self.attempt(choice)
+                    self.counts[f"nats_attempt_{result.value}"] += 1
+                    if link is not None:
+                        self.counts["nats_placed"] += 1
+                        ticket.established()
+                        return link, ""
+                    timed_out = result is i.Result.TIMEOUT
+                    if self.gone.done():
+                        ticket.left()
+                    ticket.ended(result)
+
+    async def attempt(self, choice: i.Send) -> tuple[Link | None, i.Result]:
+        """Try one server: it is up once it has answered a PING after the client's CONNECT."""
+        left = (choice.give_up - self.core.now()) / 1000
+        address = self.front.directory.addresses.get(choice.server)
+        if address is None or left <= 0:
+            return None, i.Result.UNREACHABLE
+        try:
+            sock = await connect(address, min(left, self.options.connect_timeout))
+        except OSError:
+            return None, i.Result.UNREACHABLE
+        link, up = Link(sock, self.options.silence), False
+        try:
+            # The list may have changed while the connection came up: a draining server gets no byte.
+            if not self.core.may_send(choice.server):
+                self.counts["drain_kept"] += 1
+                return None, i.Result.UNREACHABLE
+            left = (choice.give_up - self.core.now()) / 1000
+            async with asyncio.timeout(left):
+                result = await self.unless_gone(link.greet(self.upstream_connect))
+            if link.info.get("ldm"):
+                self.core.drains(choice.server)
+            if link.denied:
+                raise DeniedError(link.denied)
+            up = result is i.Result.OK
+            return (link if up else None), result or i.Result.CANCELLED
+        except TimeoutError:
+            return None, i.Result.TIMEOUT
+        finally:
+            if not up:
+                await link.close()
+
+    async def unless_gone(self, work: Awaitable[T]) -> T | None:
+        """Wait for this, or for the client's end: then None."""
+        task = asyncio.ensure_future(work)
+        try:
+            await asyncio.wait((task, self.gone), return_when=asyncio.FIRST_COMPLETED)
+            return task.result() if task.done() else None
+        finally:
+            if not task.done():
+                task.cancel()
+                await asyncio.gather(task, return_exceptions=True)
+
+    # On one server.
+
+    async def stay(self, ticket: Ticket, link: Link) -> str:
+        """Serve the client on this server; the text of the last -ERR, or nothing to go on elsewhere."""
+        self.resume(link)
+        down = self.loop.create_task(self.from_server(ticket, link))
+        alive = self.loop.create_task(self.liveness(link))
+        try:
+            ends = (down, alive, self.gone, ticket.move, self.leave)
+            await asyncio.wait(ends, return_when=asyncio.FIRST_COMPLETED)
+            if down.done() and (error := down.exception()):
+                raise error  # the client is too slow, or the fault is ours
+            self.suspend()
+            if self.gone.done():
+                ticket.ended(i.Result.CANCELLED, final=True)
+                return self.gone.result()
+            if not down.done() and not alive.done():
+                planned = await self.fence(link, down)
+                self.counts["nats_moved" if planned else "nats_fence_failed"] += 1
+                result = i.Result.CANCELLED if planned else i.Result.RESET
+            else:
+                self.counts["nats_broken" if down.done() else "nats_silent"] += 1
+                log.info("server %s %s", ticket.server, "broke" if down.done() else "is silent")
+                result = i.Result.RESET
+            leaving = self.leave.done()
+        except SlowReaderError:
+            ticket.ended(i.Result.CANCELLED, final=True)
+            return SLOW
+        finally:
+            # The old connection is closed, and all it may still say dropped, before the core is asked again:
+            # guards against a message that comes twice, from a server thought dead and from the next one.
+            self.suspend()
+            for task in (down, alive):
+                task.cancel()
+            await asyncio.gather(down, alive, return_exceptions=True)
+            await link.close()
+        ticket.ended(result, final=True)
+        self.settle(link)
+        return LEFT if leaving else ""
+
+    def resume(self, link: Link) -> None:
+        """Set up on this server what the client has: subscriptions, publications to repeat, PINGs."""
+        for subscription in self.subscriptions.values():
+            link.out.put(subscription.replay())
+        for publication in self.journal.waiting:
+            self.counts["publications_resent"] += 1
+            link.out.put(publication.raw)
+        for _ in range(self.pings_owed):
+            link.ping(self.journal.taken, of_client=True)
+        self.pings_owed = 0
+        self.link = link
+        self.linked.set()
+
+    def suspend(self) -> None:
+        """Let the client's operations wait."""
+        self.link = None
+        self.linked.clear()
+        self.confirmed.set()
+
+    async def fence(self, link: Link, down: asyncio.Task[None]) -> bool:
+        """End all subscriptions and wait until the server has said everything; whether it did."""
+        for sid in self.subscriptions:
+            link.out.put(frames.unsubscribe(sid))
+        said_all: asyncio.Future[None] = self.loop.create_future()
+        link.ping(self.journal.taken, fence=said_all)
+        await asyncio.wait((said_all, down, self.gone), timeout=self.options.silence,
+                           return_when=asyncio.FIRST_COMPLETED)  # fmt: skip
+        return said_all.done()
+
+    def settle(self, link: Link) -> None:
+        """Decide on what no PONG confirmed: what has an id is sent again, nothing else ever is."""
+        kept, lost = self.journal.settle()
+        self.pings_owed += sum(p.of_client for p in link.pings)
+        self.counts["publications_unconfirmed"] += len(kept) + len(lost)
+        for publication in lost:
+            if publication.reply and self.headers and (sid := self.taker(publication.reply)):
+                self.counts["publications_503"] += 1
+                self.out.put(frames.status(sid, publication.reply, 503))
+            else:
+                self.counts["publications_given_up"] += 1
+
+    def taker(self, subject: bytes) -> bytes:
+        """The subscription of this client that gets a reply on this subject."""
+        for sid, subscription in self.subscriptions.items():
+            if frames.matches(subscription.subject, subject):
+                return sid
+        return b""
+
+    async def liveness(self, link: Link) -> None:
+        """Ask the server for a sign of life; returns once it has given none for too long."""
+        next_ping = self.loop.time()
+        while link.silent_for() < self.options.silence and not link.out.failed:
+            if self.loop.time() >= next_ping and not link.pings:
+                link.ping(self.journal.taken)
+                next_ping = self.loop.time() + self.options.ping_interval
+            await asyncio.sleep(TICK)
+
+    # The server's operations.
+
+    async def from_server(self, ticket: Ticket, link: Link) -> None:
+        """Pass on what the server says until it ends."""
+        try:
+            while (frame := await link.reader.frame()) is not None:
+                match frame.op:
+                    case "MSG" | "HMSG":
+                        self.deliver(frame, link)
+                        await self.out.room()
+                    case "PING":
+                        link.out.put(b"PONG\r\n")
+                    case "PONG":
+                        self.pong(ticket, link)
+                    case "INFO":
+                        link.read_info(frame.args[0])
+                        if link.info.get("ldm") and not ticket.move.done():
+                            self.counts["nats_ldm"] += 1
+                            self.core.drains(ticket.server)
+                            ticket.move.set_result(None)
+                    case "-ERR":
+                        text = frame.args[0].decode("ascii", "replace").strip("' ") if frame.args else ""
+                        if text.lower().startswith(PASSED_ON):
+                            self.out.put(frame.raw)
+                        else:
+                            log.warning("server %s says -ERR %s", ticket.server, text)
+        except (ProtocolError, ValueError) as err:
+            log.warning("server %s breaks the protocol: %s", ticket.server, err)
+
+    def deliver(self, frame: Frame, link: Link) -> None:
+        """Give the client one message, unless it had it already."""
+        subscription = self.subscriptions.get(frame.args[1])
+        if subscription is None:
+            self.counts["messages_unwanted"] += 1
+            return
+        subscription.received += 1
+        identity = frames.message_id(frame.headers)
+        if identity and subscription.repeated(identity, self.options.repeat_window):
+            self.counts["messages_repeated"] += 1
+            if subscription.most:  # the server counted it: set the count up again
+                link.out.put(frames.unsubscribe(subscription.sid) + subscription.replay())
+            return
+        self.counts["messages_down"] += 1
+        subscription.delivered += 1
+        if subscription.spent:
+            del self.subscriptions[subscription.sid]
+        plain = frame.op == "HMSG" and not self.headers
+        self.out.put(frames.without_headers(frame) if plain else frame.raw)
+
+    def pong(self, ticket: Ticket, link: Link) -> None:
+        """A PONG confirms all that went before its PING."""
+        if not link.pings:
+            return
+        ping = link.pings.popleft()
+        self.counts["publications_confirmed"] += self.journal.confirm(ping.mark)
+        self.confirmed.set()
+        ticket.message_took((self.loop.time() - ping.sent_at) * 1000)
+        if ping.of_client:
+            self.out.put(b"PONG\r\n")
+        if ping.fence is not None and not ping.fence.done():
+            ping.fence.set_result(None)
+
+    # The client's operations.
+
+    async def from_client(self, first: Frame) -> None:
+        """Carry out what the client says until it ends or breaks the protocol; finds a stale client."""
+        last = LEFT
+        frame: Frame | None = first
+        try:
+            while frame is not None:
+                await self.may_operate(frame)
+                self.operate(frame)
+                await self.hold_back()
+                frame = await self.next_frame()
+        except (ProtocolError, DeniedError) as err:
+            self.counts["nats_malformed"] += 1
+            last = str(err)
+        except OSError as err:
+            log.info("a client's connection broke: %s", err)
+        except Exception:
+            self.counts["faults"] += 1
+            log.exception("a client's operation failed")
+            last = "Internal Error"
+        finally:
+            if not self.gone.done():
+                self.gone.set_result(last)
+
+    async def next_frame(self) -> Frame | None:
+        """Read on; a client that says nothing is asked for a sign of life and then given up."""
+        waker = self.loop.call_later(self.options.client_ping, self.out.put, b"PING\r\n")
+        try:
+            async with asyncio.timeout(self.options.client_ping * 2):
+                return await self.reader.frame()
+        except TimeoutError as err:
+            raise ProtocolError("Stale Connection") from err
+        finally:
+            waker.cancel()
+
+    async def may_operate(self, frame: Frame) -> None:
+        """Wait for a server where the operation needs one; what only changes the session's state does not."""
+        while self.link is None and (frame.op in ("PUB", "HPUB") or self.pings_owed >= PINGS_OWED_MOST):
+            await self.linked.wait()
+
+    async def hold_back(self) -> None:
+        """Let the client wait while much of what it published is unconfirmed or unwritten."""
+        while (link := self.link) is not None and self.journal.size > self.options.unconfirmed_most:
+            if not link.pings:
+                link.ping(self.journal.taken)
+            self.confirmed.clear()
+            await self.confirmed.wait()
+        if link is not None:
+            with contextlib.suppress(SlowReaderError):  # its silence shows in its PONGs
+                await link.out.room()
+
+    def operate(self, frame: Frame) -> None:
+        """Carry out one operation; it is noted first, so that the next server gets it if this one breaks."""
+        link = self.link
+        match frame.op:
+            case "PONG":
+                return
+            case "PING":
+                if link is None:
+                    self.pings_owed += 1
+                else:
+                    link.ping(self.journal.taken, of_client=True)
+                return
+            case "CONNECT":
+                self.connect(frame.args[0])
+            case "PUB" | "HPUB":
+                self.counts["publications"] += 1
+                if not frames.valid_subject(frame.args[0], wildcards=False):
+                    self.out.put(frames.error("Invalid Subject"))
+                    return
+                self.journal.add(frame)
+                if link is not None:
+                    link.out.put(frame.raw)
+            case "SUB":
+                if not self.subscribe(frame, link):
+                    return
+            case "UNSUB":
+                self.unsubscribe(frame, link)
+        if self.verbose:
+            self.out.put(b"+OK\r\n")
+
+    def subscribe(self, frame: Frame, link: Link | None) -> bool:
+        """Take in a subscription; whether it was accepted."""
+        subject, queue, sid = frame.args[0], frame.args[1] if len(frame.args) == 3 else b"", frame.args[-1]
+        if not frames.valid_subject(subject, wildcards=True):
+            self.out.put(frames.error("Invalid Subject"))
+            return False
+        if sid in self.subscriptions:
+            return True
+        if len(self.subscriptions) >= self.options.max_subscriptions:
+            self.out.put(frames.error("Maximum Subscriptions Exceeded"))
+            return False
+        self.counts["subscriptions"] += 1
+        subscription = self.subscriptions[sid] = Subscription(sid, subject, queue)
+        if link is not None:
+            link.out.put(subscription.replay())
+        return True
+
+    def unsubscribe(self, frame: Frame, link: Link | None) -> None:
+        """End a subscription, now or after so many messages in all."""
+        sid, most = frame.args[0], frame.args[1] if len(frame.args) == 2 else b"0"
+        if not most.isdigit():
+            raise ProtocolError("Parser Error")
+        subscription = self.subscriptions.get(sid)
+        if subscription is None:
+            return
+        subscription.most = int(most)
+        if not subscription.most or subscription.spent:
+            del self.subscriptions[sid]
+            subscription.most = 0
+        if link is not None:
+            rest = subscription.most - subscription.delivered + subscription.received
+            link.out.put(frames.unsubscribe(sid, rest if subscription.most else 0))
--- a/violetdoor/program.py
+++ b/violetdoor/program.py
@@ -12,15 +12,18 @@
 from violetdoor.config import Config
 from violetdoor.core import Controller
 from violetdoor.fronts.line.front import LineFront
+from violetdoor.fronts.nats.front import NatsFront
 from violetdoor.net.counters import Counters
 from violetdoor.net.discovery import Directory, Watch
 
 log = logging.getLogger("violetdoor")
 
-MOVE_PART = 0.75  # part of the time before the kill over which standing clients are told to move
-KILL_AFTER = 0.7  # s past the longest deadline (3 s at the most) at which the platform kills
-MOST_DEADLINE = 3.0
-CALM_EXIT = 0.2  # s before the kill by which the program is gone
+_OFFSET = (time.time() - time.monotonic()) * 1000
+
+
+def unix_clock() -> float:
+    """Unix time in ms that never jumps: servers' starts are told in it."""
+    return time.monotonic() * 1000 + _OFFSET
 
 
 class Phase(Enum):
@@ -32,19 +35,13 @@
     STOPPED = "stopped"
 
 
-def unix_clock() -> float:
-    """Unix time in ms that never jumps: servers' starts are told in it."""
-    return time.monotonic() * 1000 + _OFFSET
-
-
-_OFFSET = (time.time() - time.monotonic()) * 1000
-
-
 class Program:
     """One relay."""
 
     def __init__(self, config: Config) -> None:
         self.config, self.counts, self.phase = config, Counters(), Phase.STARTING
+        self.directory = Directory()
+        self.stop = asyncio.Event()
 
     def enter(self, phase: Phase) -> None:
         """Go on to the next phase."""
@@ -55,34 +52,43 @@
         """Print the counters."""
         log.info("counters: %s", self.counts.line())
 
+    def front(self, core: Controller) -> LineFront | NatsFront:
+        """The one front that this program has."""
+        c = self.config
+        if c.nats is None:
+            longest = max(c.deadlines.values(), default=0.0) / 1000
+            return LineFront(
+                c.listen, core, self.directory, self.counts, c.connect_timeout, c.sockets, longest
+            )
+        return NatsFront(
+            c.listen, core, self.directory, self.counts, c.nats, c.deadlines, c.sockets, c.name
+        )
+
     async def run(self) -> None:
         """Start, serve until SIGTERM, leave, stop."""
         config, loop = self.config, asyncio.get_running_loop()
-        stop = asyncio.Event()
         for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, stop.set)
+            loop.add_signal_handler(number, self.stop.set)
         loop.add_signal_handler(signal.SIGUSR1, self.report)
-        directory = Directory()
         core = Controller(config.settings, config.seed, unix_clock, config.tells_delay)
-        watch = Watch(config.discovery, directory, core.listed, self.counts)
-        core.follow = watch.follow
-        core.listed(directory.read(config.known, i.ListKind.REMEMBERED))
-        front = LineFront(
-            config.listen, core, directory, self.counts, config.connect_timeout, config.sockets
-        )
-        tasks = [loop.create_task(front.accept()), loop.create_task(front.sweep())]
+        watch = None
+        if config.discovery is not None:
+            watch = Watch(config.discovery, self.directory, core.listed, self.counts)
+            core.follow = watch.follow
+        known = i.ListKind.COMPLETE if watch is None else i.ListKind.REMEMBERED
+        core.listed(self.directory.read(config.known, known))
+        front = self.front(core)
+        serving, stopping = loop.create_task(front.run()), loop.create_task(self.stop.wait())
         self.enter(Phase.SERVING)
-        stopping = loop.create_task(stop.wait())
-        await asyncio.wait((*tasks, stopping), return_when=asyncio.FIRST_COMPLETED)
-        for task in tasks:
-            if task.done():
-                task.result()
+        log.info("listening on %s:%d", *front.acceptor.address)
+        await asyncio.wait((serving, stopping), return_when=asyncio.FIRST_COMPLETED)
+        if serving.done():
+            serving.result()
         self.enter(Phase.LEAVING)
-        time_left = min(config.longest_deadline, MOST_DEADLINE) + KILL_AFTER
-        await front.leave(time_left * MOVE_PART, time_left - CALM_EXIT)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-        await watch.stop()
+        await front.leave()
+        serving.cancel()
+        await asyncio.gather(serving, return_exceptions=True)
+        if watch is not None:
+            await watch.stop()
         self.enter(Phase.STOPPED)
         self.report()
