Watch the list from version 0 on instead of asking for all of it five times a second

Cause: the first list has version 0, and 'if version' in net/discovery.py took 0 for no version. Now None stands for that.

--- a/violetdoor/net/discovery.py
+++ b/violetdoor/net/discovery.py
@@ -36,7 +36,7 @@
 
     def __init__(self) -> None:
         self.addresses: dict[str, Address] = {}
-        self.version = 0
+        self.version: int | None = None  # of the list as it is known; 0 is a version too
 
     def read(self, data: dict[str, Any], kind: i.ListKind | None = None) -> i.ServerList:
         """Read one answer, keep its addresses and version."""
@@ -52,8 +52,8 @@
             if line.get("addr"):
                 self.addresses[entry.server] = parse_address(line["addr"])
             entries.append(entry)
-        self.version = int(data.get("version") or 0)
-        return i.ServerList(kind, tuple(entries), self.version)
+        version = self.version = int(data["version"]) if "version" in data else None
+        return i.ServerList(kind, tuple(entries), version or 0)
 
 
 class _Answer:
@@ -116,7 +116,8 @@
 
     async def _call(self) -> bytes:
         version = self.directory.version
-        query = f"?from={version}&hold_ms={HOLD_MS}" if version else ""
+        # Guards against asking for the whole list again and again while its version is 0.
+        query = "" if version is None else f"?from={version}&hold_ms={HOLD_MS}"
         host = f"{self.address[0]}:{self.address[1]}"
         if self._sock is None:
             self._sock = await connect(self.address, CONNECT_TIMEOUT)
