--- /dev/null
+++ b/tests/test_line.py
@@ -0,0 +1,278 @@
+"""The line front: a real process between clients, stand-in gate servers and stand-in discovery."""
+
+from __future__ import annotations
+
+import ast
+import asyncio
+import contextlib
+import json
+from collections.abc import AsyncIterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+from standins import ROOT, Discovery, GateServer, Reader, Relay, Standin, Writer, relay, run, until
+
+SETTINGS: dict[str, Any] = {
+    "classes": [{"name": "checkin", "goalTime": 300.0, "hardLimit": 1200.0, "worth": 1.0}],
+    "familyInfo": {"messageAim": [250.0], "tellsDelay": True},
+    "policyLimits": {"sendCap": 3, "retryAfter": True, "maxRetryAfter": 900.0, "connectTimeout": 200.0},
+    "discovery": "on_request", "locality": "a", "balancers": 1, "period": 4.0,
+    "rules": {"askWithin": 2000.0}, "report": {"how": "none"},
+}  # fmt: skip
+HEAD = b"OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 "
+
+
+@contextlib.asynccontextmanager
+async def front(tmp_path: Path, discovery: Discovery, sockets: int = 1024) -> AsyncIterator[Relay]:
+    path = tmp_path / "config.json"
+    known = discovery.listed() if discovery.address and discovery.states else {}
+    path.write_text(json.dumps({
+        "name": "n1", "listen": "127.0.0.1:0", "discovery": discovery.address, "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets}, "known": known, "settings": SETTINGS,
+    }))  # fmt: skip
+    async with relay(BALANCER_CONFIG=str(path)) as it:
+        yield it
+
+
+@contextlib.asynccontextmanager
+async def world(tmp_path: Path, *servers: Standin) -> AsyncIterator[tuple[Relay, Discovery]]:
+    async with contextlib.AsyncExitStack() as stack:
+        for server in servers:
+            await stack.enter_async_context(server)
+        discovery = await stack.enter_async_context(Discovery(*servers))
+        yield await stack.enter_async_context(front(tmp_path, discovery)), discovery
+
+
+async def opened(it: Relay, values: bytes = b"c=checkin,t=acme,d=1000,g=5c0f") -> tuple[Reader, Writer]:
+    reader, writer = await it.open()
+    writer.write(HEAD + values + b"\r\n")
+    return reader, writer
+
+
+async def line(reader: Reader) -> bytes:
+    async with asyncio.timeout(10):
+        return await reader.readline()
+
+
+def test_line_goes_on_with_less_time_and_all_else_passes_unchanged(tmp_path: Path) -> None:
+    """Bytes that come together with UP are not lost."""
+
+    async def test() -> None:
+        server = GateServer(first=b"UP r1\r\nhello\r\nLOAD 4100.5\r\n")
+        async with world(tmp_path, server) as (it, _):
+            check, ping = await it.open()
+            ping.write(b"PING\r\n")
+            assert await line(check) == b"PONG\r\n"
+            reader, writer = await opened(it)
+            assert [await line(reader) for _ in range(3)] == [b"UP r1\r\n", b"hello\r\n", b"LOAD 4100.5\r\n"]
+            writer.write(b"M 1 x\r\nM 2")
+            assert await line(reader) == b"re M 1 x\r\n"
+            writer.write(b" y\r\n")
+            assert await line(reader) == b"re M 2 y\r\n"
+            before, _, rest = server.opened[0].partition(b"d=")
+            left, _, after = rest.partition(b",")
+            assert (before, after) == (HEAD + b"c=checkin,t=acme,", b"g=5c0f\r\n")
+            assert 300 < int(left) < 1000
+            writer.close()
+            await until(lambda: server.ended == 1)
+            counts = await it.counters()
+            assert counts["answered_up"] == counts["ended_by_client"] == 1 and counts["load_lines"] == 1
+
+    run(test)
+
+
+@pytest.mark.parametrize(
+    ("first", "outcome"),
+    [(b"BUSY\r\n", "full"), (b"ERR\r\n", "error"), (b"what\r\n", "error"), (b"", "reset"),
+     (b"x" * 5000, "error")],
+)  # fmt: skip
+def test_outcomes_map_and_the_client_gets_one_answer(tmp_path: Path, first: bytes, outcome: str) -> None:
+    async def test() -> None:
+        class Ending(GateServer):
+            async def serve(self, reader: Reader, writer: Writer) -> None:
+                self.opened.append(await reader.readline())
+                writer.write(self.first)
+                await writer.drain()
+
+        server = Ending(first)
+        async with world(tmp_path, server) as (it, _):
+            reader, _ = await opened(it)
+            async with asyncio.timeout(5):
+                answer = await reader.read(-1)
+            assert answer.startswith(b"BUSY ") and answer.count(b"\r\n") == 1
+            counts = await it.counters()
+            assert counts[f"attempt_{outcome}"] == len(server.opened) >= 1
+            assert counts["answered_busy"] == 1
+
+    run(test)
+
+
+def test_server_that_says_nothing_times_out_and_its_client_is_answered_in_time(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with world(tmp_path, GateServer(first=b"")) as (it, _):
+            began = asyncio.get_running_loop().time()
+            reader, _ = await opened(it)
+            assert (await line(reader)).startswith(b"BUSY ")
+            assert asyncio.get_running_loop().time() - began < 1.05
+            assert (await it.counters())["attempt_timeout"] >= 1
+
+    run(test)
+
+
+def test_drained_server_gets_nothing_new_and_broken_discovery_is_asked_again(tmp_path: Path) -> None:
+    async def test() -> None:
+        one, two = GateServer(), GateServer()
+        async with world(tmp_path, one, two) as (it, discovery):
+            await until(lambda: discovery.calls >= 1)
+            discovery.tell(one, "draining")
+            await until(lambda: discovery.calls >= 2)
+            for _ in range(10):
+                reader, _ = await opened(it)
+                assert await line(reader) == b"UP r1\r\n"
+            assert len(two.opened) == 10 and not one.opened
+            discovery.broken = True
+            discovery.tell(two, "up")
+            calls = discovery.calls
+            await until(lambda: discovery.calls >= calls + 2)
+            discovery.broken = False
+            discovery.tell(two, "draining")
+            await until(lambda: discovery.calls >= calls + 5)
+            reader, _ = await opened(it)
+            assert (await line(reader)).startswith(b"BUSY ")
+
+    run(test)
+
+
+def test_list_of_version_0_is_watched_not_fetched(tmp_path: Path) -> None:
+    """Guards against taking version 0 for no version and asking for the whole list all the time."""
+
+    async def test() -> None:
+        server, discovery = GateServer(), Discovery()
+        async with server:
+            discovery.servers, discovery.states, discovery.version = (server,), {server.address: "up"}, 0
+            async with discovery, front(tmp_path, discovery) as it:
+                await until(lambda: discovery.calls)
+                reader, writer = await opened(it)
+                for _ in range(20):
+                    writer.write(b"M\r\n")
+                    assert await line(reader)
+                assert discovery.calls == 1
+
+    run(test)
+
+
+def test_client_of_a_silent_server_is_moved_between_two_lines(tmp_path: Path) -> None:
+    """Guards against a server that takes all and answers nothing: TCP sees no fault in it."""
+
+    async def test() -> None:
+        server = GateServer()
+        async with world(tmp_path, server) as (it, _):
+            reader, writer = await opened(it)
+            assert await line(reader) == b"UP r1\r\n"
+            server.echo = False
+            writer.write(b"M 1\r\n")
+            server.writers[-1].write(b"half a li")
+            async with asyncio.timeout(4):
+                assert await reader.read(-1) == b"MOVE\r\n"
+            await until(lambda: server.ended == 1)
+            assert it.logged("is silent to 1 of 1")
+
+    run(test)
+
+
+@pytest.mark.parametrize(("last", "count"), [(b"BYE\r\n", "ok"), (b"MOVE\r\n", "cancelled"), (b"", "reset")])
+def test_end_of_the_server_is_passed_on(tmp_path: Path, last: bytes, count: str) -> None:
+    async def test() -> None:
+        server = GateServer()
+        async with world(tmp_path, server) as (it, _):
+            reader, _ = await opened(it)
+            assert await line(reader) == b"UP r1\r\n"
+            server.writers[-1].write(last)
+            server.writers[-1].close()
+            async with asyncio.timeout(1):
+                assert await reader.read(-1) == last
+            assert (await it.counters())[f"ended_{count}"] == 1
+
+    run(test)
+
+
+def test_client_that_leaves_early_ends_its_attempt(tmp_path: Path) -> None:
+    async def test() -> None:
+        server = GateServer(first=b"")
+        async with world(tmp_path, server) as (it, _):
+            _, writer = await opened(it, b"c=checkin,d=60000")
+            await until(lambda: server.opened)
+            writer.close()
+            await until(lambda: server.ended == 1)
+            assert (await it.counters())["left_early"] == 1
+
+    run(test)
+
+
+def test_connection_of_an_earlier_run_goes_to_its_server_even_if_that_drains(tmp_path: Path) -> None:
+    async def test() -> None:
+        one, two = GateServer(), GateServer()
+        async with world(tmp_path, one, two) as (it, discovery):
+            discovery.tell(two, "draining")
+            values = f"c=checkin,t=acme,at=s-{two.address},d=1000".encode()
+            reader, _ = await opened(it, values)
+            assert await line(reader) == b"UP r1\r\n"
+            assert values[:-4] in two.opened[0] and not one.opened
+            assert (await it.counters())["adopted"] == 1
+
+    run(test)
+
+
+def test_sigterm_answers_what_still_arrives_and_moves_all_that_stand(tmp_path: Path) -> None:
+    async def test() -> None:
+        server = GateServer()
+        async with world(tmp_path, server) as (it, _):
+            clients = [await opened(it) for _ in range(20)]
+            assert all([await line(reader) == b"UP r1\r\n" for reader, _ in clients])
+            began = asyncio.get_running_loop().time()
+            it.process.terminate()
+            await until(lambda: it.logged("serving -> leaving"))
+            reader, _ = await opened(it)
+            assert (await line(reader)).startswith(b"BUSY ")
+            assert [await r.read(-1) for r, _ in clients] == [b"MOVE\r\n"] * 20
+            assert await it.process.wait() == 0
+            assert asyncio.get_running_loop().time() - began < 1.9  # deadline 1.2 s and 0.7 s
+            await until(lambda: it.logged("answered_busy=1"))
+
+    run(test)
+
+
+def test_bad_lines_a_flood_and_too_many_clients_harm_nobody_else(tmp_path: Path) -> None:
+    """Guards against lines without end, and against a relay out of descriptors that stops to accept."""
+
+    async def test() -> None:
+        async with (
+            GateServer() as server, Discovery(server) as discovery,
+            front(tmp_path, discovery, sockets=54) as it,  # room for three clients
+        ):  # fmt: skip
+            for bad in (b"x" * 9000, b"OPEN a b\r\n", HEAD + b"c=none,d=9\r\n", HEAD + b"c=checkin\r\n"):
+                reader, writer = await it.open()
+                writer.write(bad)
+                assert await line(reader) == b"ERR\r\n"
+                writer.close()
+            clients = [await opened(it) for _ in range(3)]
+            assert all([await line(reader) == b"UP r1\r\n" for reader, _ in clients])
+            reader, writer = await opened(it)
+            assert (await line(reader)).startswith(b"BUSY ")
+            writer.close()
+            clients[0][1].close()
+            await until(lambda: server.ended == 1)
+            reader, _ = await opened(it)
+            assert await line(reader) == b"UP r1\r\n"
+
+    run(test)
+
+
+def test_core_knows_no_wire() -> None:
+    for path in (ROOT / "violetdoor" / "core").glob("*.py"):
+        for node in ast.walk(ast.parse(path.read_text())):
+            names = [a.name for a in node.names] if isinstance(node, ast.Import) else []
+            names += [node.module or ""] if isinstance(node, ast.ImportFrom) else []
+            for name in names:
+                assert not name.startswith(("violetdoor.net", "violetdoor.fronts", "socket")), (path, name)
--- a/violetdoor/core/controller.py
+++ b/violetdoor/core/controller.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import logging
+from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
 
@@ -18,6 +19,10 @@
 
 log = logging.getLogger("violetdoor.core")
 
+LOOK = 200.0  # ms between two looks for silent servers
+SERVER_SILENT = 1_500.0  # ms without an answer on any connection after which a server counts as silent
+CONNECTION_SILENT = 3_500.0  # ms without an answer on one connection after which that counts as silent
+UNANSWERED_MOST = 64  # messages of one connection whose answers are timed
 DRAIN_BELIEVED = 30.0  # s after which a server that said it drains may be asked again, if the list has it
 
 Prober = Callable[[str], Awaitable[i.Probed]]
@@ -36,7 +41,7 @@
 
     __slots__ = (
         "_controller", "_next", "_out", "_sent_at", "attempt", "cls", "deadline", "id", "message_aim", "move",
-        "over", "server",
+        "over", "server", "silent", "unanswered",
     )  # fmt: skip
 
     def __init__(self, controller: Controller, request: int, cls: str, deadline: float) -> None:
@@ -44,6 +49,8 @@
         self.message_aim = controller.settings.classes[cls].message_aim
         self._next: asyncio.Future[Decision] = controller.loop.create_future()
         self.move: asyncio.Future[None] = controller.loop.create_future()
+        self.silent: asyncio.Future[None] = controller.loop.create_future()
+        self.unanswered: deque[float] = deque(maxlen=UNANSWERED_MOST)  # when messages went, oldest first
         self.server, self.attempt = "", -1
         self._out = self.over = False
         self._sent_at = 0.0
@@ -85,9 +92,16 @@
         """The connection's load now, in the unit of the hint."""
         self._controller.handle(i.Note(self.id, self.attempt, self.server, i.NoteKind.LOAD, value))
 
-    def message_took(self, value: float) -> None:
-        """A message and its echo took so many ms at the server."""
-        self._controller.delays.add(self.server, value)
+    def asked(self) -> None:
+        """A message that wants an answer went to the server."""
+        self.unanswered.append(self._controller.now())
+
+    def answered(self) -> None:
+        """The answer to the oldest such message came."""
+        if self.unanswered:
+            now = self._controller.now()
+            self._controller.answered_at[self.server] = now
+            self._controller.delays.add(self.server, now - self.unanswered.popleft())
 
     def ended(self, result: i.Result, final: bool = False) -> None:
         """The attempt is over; final where nothing more is owed."""
@@ -137,6 +151,8 @@
         self._probes: set[asyncio.Task[None]] = set()
         aims = [c.message_aim for c in settings.classes.values()]
         self.delays = Delays(min(aims, default=0.0))
+        self.answered_at: dict[str, float] = {}  # when a server last answered a message
+        self.loop.call_later(LOOK / 1000, self._find_silent)
         if tells_delay and aims:
             self.loop.call_later(WINDOW / 1000, self._tell_delays)
 
@@ -208,6 +224,7 @@
             there.pop(ticket.id, None)
             if not there:
                 del self.standing[ticket.server]
+                self.answered_at.pop(ticket.server, None)
 
     def handle(self, event: i.Event) -> None:
         """Give the module an event, carry out what it returns."""
@@ -248,9 +265,34 @@
         else:
             self.handle(await self.prober(server))
 
+    def _find_silent(self) -> None:
+        """Find the servers that answer nothing any more, and single connections that bring nothing.
+
+        Guards against a server that takes all and says nothing: TCP sees no fault in it, and a client that
+        stays there for 7 s without an answer breaks a rule.
+        """
+        self.loop.call_later(LOOK / 1000, self._find_silent)
+        now = self.now()
+        for server, tickets in list(self.standing.items()):
+            waiting = [t for t in tickets.values() if t.unanswered]
+            oldest = min((t.unanswered[0] for t in waiting), default=now)
+            dead = now - oldest > SERVER_SILENT and self.answered_at.get(server, 0.0) < oldest
+            silent = list(tickets.values()) if dead else waiting
+            silent = [t for t in silent if dead or now - t.unanswered[0] > CONNECTION_SILENT]
+            if silent:
+                log.warning("server %s is silent to %d of %d connections", server, len(silent), len(tickets))
+            for ticket in silent:
+                if not ticket.silent.done():
+                    ticket.silent.set_result(None)
+
     def _tell_delays(self) -> None:
         self.loop.call_later(WINDOW / 1000, self._tell_delays)
-        for server, value in self.delays.close_window():
+        now = self.now()
+        ages = {
+            server: [now - t.unanswered[0] for t in tickets.values() if t.unanswered]
+            for server, tickets in self.standing.items()
+        }
+        for server, value in self.delays.close_window(ages):
             ticket = carrier(self.standing.get(server, {}))
             if ticket is not None:
                 note = i.Note(ticket.id, ticket.attempt, server, i.NoteKind.DELAY, value)
--- a/violetdoor/core/delays.py
+++ b/violetdoor/core/delays.py
@@ -36,9 +36,17 @@
         if len(known.samples) < MOST:
             known.samples.append(value)
 
-    def close_window(self) -> list[tuple[str, float]]:
-        """The servers to tell of: those over the threshold, and those just back under it."""
+    def close_window(self, ages: dict[str, list[float]]) -> list[tuple[str, float]]:
+        """The servers to tell of: those over the threshold, and those just back under it.
+
+        `ages` are of the messages that have no answer yet, by server: a server that answers nothing any more
+        would otherwise have no message times at all.
+        """
         told = []
+        for name, late in ages.items():
+            for age in late:
+                if age > self.threshold:
+                    self.add(name, age)
         for name, known in list(self.servers.items()):
             if not known.samples:
                 del self.servers[name]
--- a/violetdoor/fronts/line/front.py
+++ b/violetdoor/fronts/line/front.py
@@ -16,8 +16,6 @@
 
 log = logging.getLogger("violetdoor.line")
 
-SILENT = 3_500.0  # ms without any answer to a client's line after which its server counts as silent
-SWEEP = 0.25  # s between two looks for silent servers
 PROBE_TIMEOUT = 0.5
 MOST_DEADLINE, KILL_AFTER = 3.0, 0.7  # s: SIGKILL comes no sooner than the longest deadline, this at most,
 # plus this much after SIGTERM.
@@ -44,8 +42,8 @@
         core.prober = self.probe
 
     async def run(self) -> None:
-        """Take in clients and look after them for ever."""
-        await asyncio.gather(self.acceptor.run(), self.sweep())
+        """Take in clients for ever."""
+        await self.acceptor.run()
 
     async def session(self, sock: socket.socket) -> bool:
         """Serve one client; whether its connection is to end with a reset."""
@@ -64,15 +62,6 @@
             raise
         return client.reset
 
-    async def sweep(self) -> None:
-        """Find the connections whose server answers nothing: their clients are moved."""
-        while True:
-            await asyncio.sleep(SWEEP)
-            oldest = self.core.now() - SILENT
-            for session in list(self.standing):
-                if session.asked and session.asked[0] < oldest and not session.silent.done():
-                    session.silent.set_result(None)
-
     async def probe(self, server: str) -> i.Probed:
         """Check that a server answers."""
         began, result = self.core.now(), i.Result.UNREACHABLE
--- a/violetdoor/fronts/line/session.py
+++ b/violetdoor/fronts/line/session.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-from collections import deque
 from typing import TYPE_CHECKING
 
 from lynxdeck import interface as i
@@ -21,7 +20,6 @@
 ADOPT_TIME, ADOPT_PAUSE = 35.0, 0.3  # s to bring up a connection from before the run; between two tries
 MOVE_WRITE = 0.5  # s that a client has to take its MOVE
 CLIENT_WRITE = 5.0  # s that a client may leave its lines unread
-UNANSWERED_MOST = 64  # lines of a client whose echo is timed
 
 
 class Session:
@@ -34,8 +32,6 @@
         self.loop = asyncio.get_running_loop()
         self.gone: asyncio.Future[None] = self.loop.create_future()  # the client ended
         self.up: asyncio.Future[None] = self.loop.create_future()  # its server is there
-        self.silent: asyncio.Future[None] = self.loop.create_future()
-        self.asked: deque[float] = deque(maxlen=UNANSWERED_MOST)  # when lines went that have no answer yet
         self.writing = asyncio.Lock()  # held while lines go to the client: MOVE comes between them
         self.answered = False  # the one final answer is given
         self.farewell = ""  # BYE or MOVE, once the server said it
@@ -207,7 +203,7 @@
         self.up.set_result(None)
         down = self.loop.create_task(self.from_server(ticket))
         try:
-            ends = (down, self.gone, ticket.move, self.silent)
+            ends = (down, self.gone, ticket.move, ticket.silent)
             await asyncio.wait(ends, return_when=asyncio.FIRST_COMPLETED)
             if down.done():
                 down.result()
@@ -262,7 +258,8 @@
         length = client.whole()
         if not length or server is None:
             return
-        self.asked.append(self.core.now())
+        if self.ticket is not None:
+            self.ticket.asked()
         self.front.counts["lines_up"] += client.buffer.count(b"\n", 0, length)
         await send_parts(server.sock, [client.view[:length]])
         client.consume(length)
@@ -297,6 +294,5 @@
                 pass
             else:
                 self.front.counts["lines_down"] += 1
-                if self.asked:
-                    ticket.message_took(self.core.now() - self.asked.popleft())
+                ticket.answered()
             start = stop
--- a/violetdoor/fronts/nats/session.py
+++ b/violetdoor/fronts/nats/session.py
@@ -350,7 +350,7 @@
         ping = link.pings.popleft()
         self.counts["publications_confirmed"] += self.journal.confirm(ping.mark)
         self.confirmed.set()
-        ticket.message_took((self.loop.time() - ping.sent_at) * 1000)
+        self.core.delays.add(ticket.server, (self.loop.time() - ping.sent_at) * 1000)
         if ping.of_client:
             self.out.put(b"PONG\r\n")
         if ping.fence is not None and not ping.fence.done():
