--- a/tests/test_line.py
+++ b/tests/test_line.py
@@ -64,20 +64,22 @@
             check, ping = await it.open()
             ping.write(b"PING\r\n")
             assert await line(check) == b"PONG\r\n"
+            reader, writer = await opened(it, b"c=checkin,d=1000\r\nM 0")
+            assert [await line(reader) for _ in range(4)][3] == b"re M 0\r\n"
             reader, writer = await opened(it)
             assert [await line(reader) for _ in range(3)] == [b"UP r1\r\n", b"hello\r\n", b"LOAD 4100.5\r\n"]
             writer.write(b"M 1 x\r\nM 2")
             assert await line(reader) == b"re M 1 x\r\n"
             writer.write(b" y\r\n")
             assert await line(reader) == b"re M 2 y\r\n"
-            before, _, rest = server.opened[0].partition(b"d=")
+            before, _, rest = server.opened[1].partition(b"d=")
             left, _, after = rest.partition(b",")
             assert (before, after) == (HEAD + b"c=checkin,t=acme,", b"g=5c0f\r\n")
             assert 300 < int(left) < 1000
             writer.close()
             await until(lambda: server.ended == 1)
             counts = await it.counters()
-            assert counts["answered_up"] == counts["ended_by_client"] == 1 and counts["load_lines"] == 1
+            assert counts["answered_up"] == counts["load_lines"] == 2 and counts["ended_by_client"] == 1
 
     run(test)
 
--- a/violetdoor/fronts/line/session.py
+++ b/violetdoor/fronts/line/session.py
@@ -236,21 +236,22 @@
         """Pass the client's lines on once its server is there; sees the client leave at any time."""
         client = self.client
         try:
-            while await client.fill():
-                if not self.up.done():
-                    if client.used < len(client.buffer):
-                        continue
+            # Lines that came together with the first one go on as soon as there is a server: a loop that read
+            # before it looked would hold them back until the client says more.
+            while client.whole() or await client.fill():
+                if client.whole():
                     await self.up
-                await self.pass_up()
+                    try:
+                        await self.pass_up()
+                    except OSError as err:
+                        log.info("writing to a server failed: %s", err)
+                        return  # the reading side sees the server's end, too
         except LineTooLongError:
             log.warning("a client's line is too long: its connection ends")
-        except OSError as err:
-            log.info("writing to a server failed: %s", err)
-        finally:
-            if not self.gone.done():
-                self.gone.set_result(None)
-            if self.ticket is not None and not self.up.done():
-                self.ticket.left()
+        if not self.gone.done():
+            self.gone.set_result(None)
+        if self.ticket is not None and not self.up.done():
+            self.ticket.left()
 
     async def pass_up(self) -> None:
         """Send the client's whole lines to its server."""
--- a/violetdoor/fronts/nats/link.py
+++ b/violetdoor/fronts/nats/link.py
@@ -15,7 +15,7 @@
 from violetdoor.net.outbox import Outbox
 from violetdoor.net.sockets import end
 
-SERVER_PAYLOAD_MOST = 8 * 1024 * 1024  # bytes of one message from a server
+SERVER_PAYLOAD_MOST = 1024 * 1024  # bytes of one message from a server
 QUEUED_MOST = 256 * 1024  # bytes queued towards a server before its client waits
 # The -ERR texts by which a server turns a connection away without having done anything with it.
 TURNED_AWAY = ("maximum connections exceeded", "maximum account active connections exceeded")
--- a/violetdoor/fronts/nats/session.py
+++ b/violetdoor/fronts/nats/session.py
@@ -215,6 +215,9 @@
                 return self.gone.result()
             if not down.done() and not alive.done():
                 planned = await self.fence(link, down)
+                if self.gone.done():
+                    ticket.ended(i.Result.CANCELLED, final=True)
+                    return self.gone.result()
                 self.counts["nats_moved" if planned else "nats_fence_failed"] += 1
                 result = i.Result.CANCELLED if planned else i.Result.RESET
             else:
@@ -288,7 +291,7 @@
     async def liveness(self, link: Link) -> None:
         """Ask the server for a sign of life; returns once it has given none for too long."""
         next_ping = self.loop.time()
-        while link.silent_for() < self.options.silence and not link.out.failed:
+        while not link.out.failed and (self.out.full or link.silent_for() < self.options.silence):
             if self.loop.time() >= next_ping and not link.pings:
                 link.ping(self.journal.taken)
                 next_ping = self.loop.time() + self.options.ping_interval
@@ -303,7 +306,9 @@
                 match frame.op:
                     case "MSG" | "HMSG":
                         self.deliver(frame, link)
-                        await self.out.room()
+                        if self.out.full:
+                            await self.out.room()
+                            link.reader.heard = self.loop.time()  # it was not read from, so it was not silent
                     case "PING":
                         link.out.put(b"PONG\r\n")
                     case "PONG":
--- a/violetdoor/net/discovery.py
+++ b/violetdoor/net/discovery.py
@@ -28,7 +28,8 @@
     """A call brought no list."""
 
 
-CALL_FAILED = (OSError, DiscoveryError, httptools.HttpParserError, ValueError, KeyError, TypeError)
+CALL_FAILED = (OSError, DiscoveryError, httptools.HttpParserError, ValueError, KeyError, TypeError,
+               AttributeError)  # fmt: skip
 
 
 class Directory:
@@ -112,7 +113,11 @@
                 return
             if servers.entries:
                 self.counts["discovery_changes"] += len(servers.entries)
-            self.deliver(servers)
+            try:
+                self.deliver(servers)
+            except Exception:  # one entry that the module can't take must not end the watch for good
+                self.counts["faults"] += 1
+                log.exception("the list could not be taken in")
 
     async def _call(self) -> bytes:
         version = self.directory.version
--- a/violetdoor/net/outbox.py
+++ b/violetdoor/net/outbox.py
@@ -36,9 +36,14 @@
         self.size += len(frame)
         self._wake.set()
 
+    @property
+    def full(self) -> bool:
+        """Whether more is queued than should be."""
+        return self.size >= self.most
+
     async def room(self) -> None:
         """Wait until less than the limit is queued; SlowReaderError if that takes too long."""
-        while self.size >= self.most and not self.closed and not self.failed:
+        while self.full and not self.closed and not self.failed:
             self._room.clear()
             before = self.size
             try:
