--- a/lynxdeck/policy.py
+++ b/lynxdeck/policy.py
@@ -29,6 +29,7 @@
 PROBE_WAIT, LOOK_AGAIN = 60.0, 100.0  # ms a placement waits for probes; until it looks on for room
 CROSS_WEIGHT, GROUP_STEP = 5.0, 0.1  # load over capacity to gain by a crossing, a point; by the next home
 HEALTH_DOWN, HEALTH_UP, HEALTH_LEAST = 0.4, 1.25, 0.02  # part of turns: times a failure, an interval; least
+SLOW, SLOW_LEAST = 4.0, 15.0  # times the quickest server's set-up, and ms, from which one is overloaded
 MOVE_ABOVE, MOVE_PAUSE = 0.95, 2_500.0  # load over capacity from which a server sheds; ms until seen
 BAD = (i.Result.FULL, i.Result.RESET, i.Result.UNREACHABLE, i.Result.ERROR, i.Result.TIMEOUT)
 
@@ -77,6 +78,7 @@
         self.tenants, self.groups = dict[str, Tenant](), dict[int, list[Server]]()  # with each group's order
         self.fleet: float | None = None  # mean of reported load over capacity
         self.unit, self.weight = math.inf, 1.0  # load that fills a unit of listed weight, and their sum
+        self.quickest = math.inf  # shortest smoothed set-up seen at any server
         self.sent, self.late, self.list_calls = 0.0, 0.0, 0  # load sent lately; share timed out; calls
         self.next_tick = now + INTERVAL * self.random.uniform(0.1, 1.0)
         self.handlers: dict[type, Callable[[Any], None]] = {
@@ -342,8 +344,18 @@
 
     # Attempts and failure.
 
-    def established(self, _: i.Established) -> None:
+    def established(self, event: i.Established) -> None:
+        """Guards against an overloaded server that no report or delay tells of: its set-ups take long."""
         self.late -= SMOOTH_ONE * self.late
+        request = self.requests.get(event.request)
+        if request is None or (server := request.server) is None or self.settings.probes:
+            return
+        old = event.latency if server.setup is None else server.setup
+        server.setup = old + SMOOTH * (event.latency - old)
+        self.quickest = min(self.quickest, server.setup)
+        if server.setup > max(SLOW_LEAST, SLOW * self.quickest):
+            server.load, server.report_at = OVERLOAD, self.now
+            self.shed(server, OVERLOAD)
 
     def abandoned(self, event: i.Abandoned) -> None:
         if request := self.requests.get(event.request):
--- a/lynxdeck/records.py
+++ b/lynxdeck/records.py
@@ -39,6 +39,7 @@
     load: float | None = None  # reported load over capacity, own sends since added
     report_at: float = -math.inf
     health: float = 1.0  # part of its turns that it gets
+    setup: float | None = None  # ms that setting a connection up takes there, smoothed
     cold_since: float = 0.0  # the start for which it has cold turns
     moved_at: float = -math.inf
     in_order: bool = False  # has a place in the turn order
@@ -53,7 +54,7 @@
 
     def restart(self) -> None:
         """Forget what was true of the earlier process."""
-        self.load, self.report_at, self.health = None, -math.inf, 1.0
+        self.load, self.report_at, self.health, self.setup = None, -math.inf, 1.0, None
 
 
 @dataclass(slots=True, eq=False)
--- a/violetdoor/core/controller.py
+++ b/violetdoor/core/controller.py
@@ -237,8 +237,7 @@
                 if ticket := self.tickets.get(action.request):
                     ticket.decided(action)
             case i.SetTimer():
-                delay = max(0.0, action.at - self.now()) / 1000
-                self.loop.call_later(delay, self._timer, action.token)
+                self._set_timer(action.token, action.at)
             case i.Move():
                 ticket = self.tickets.get(action.request)
                 if ticket and not ticket.move.done():
@@ -250,14 +249,23 @@
                 self._probes.add(task)
                 task.add_done_callback(self._probes.discard)
 
-    def _timer(self, token: str) -> None:
+    def _set_timer(self, token: str, at: float) -> None:
+        self.loop.call_later(max(0.0, at - self.now()) / 1000, self._timer, token, at)
+
+    def _timer(self, token: str, at: float) -> None:
+        # uvloop counts a delay from the start of the loop's round, so a timer can come early by as long as
+        # the round has lasted. The module ignores a timer that is early: guards against a request that is
+        # held for ever since its one timer came too soon.
+        if self.now() < at:
+            self._set_timer(token, at)
+            return
         try:
             self.handle(i.TimerFired(token))
         except Exception:  # one request's fault must not end the module's clock for all others
             self.faults += 1
             log.exception("timer %s failed in the decision module", token)
             if token == "tick":
-                self.loop.call_later(1.0, self._timer, token)
+                self._set_timer(token, self.now() + 1000.0)
 
     async def _probe(self, server: str) -> None:
         if self.prober is None or not self.may_send(server):
