--- a/lynxdeck/policy.py
+++ b/lynxdeck/policy.py
@@ -29,7 +29,7 @@
 PROBE_WAIT, LOOK_AGAIN = 60.0, 100.0  # ms a placement waits for probes; until it looks on for room
 CROSS_WEIGHT, GROUP_STEP = 5.0, 0.1  # load over capacity to gain by a crossing, a point; by the next home
 HEALTH_DOWN, HEALTH_UP, HEALTH_LEAST = 0.4, 1.25, 0.02  # part of turns: times a failure, an interval; least
-SLOW, SLOW_LEAST = 4.0, 15.0  # times the quickest server's set-up, and ms, from which one is overloaded
+SLOW, SLOW_LEAST = 5.0, 25.0  # times the quickest server's set-up, and ms, from which one is overloaded
 MOVE_ABOVE, MOVE_PAUSE = 0.95, 2_500.0  # load over capacity from which a server sheds; ms until seen
 BAD = (i.Result.FULL, i.Result.RESET, i.Result.UNREACHABLE, i.Result.ERROR, i.Result.TIMEOUT)
 
