Test that accept outlives a want of descriptors

The limit of the running program is lowered to two free descriptors, six clients come, the accept fails and is logged; with the limit back a new client is served. No change of the program was needed.

--- a/tests/test_line.py
+++ b/tests/test_line.py
@@ -6,6 +6,7 @@
 import asyncio
 import contextlib
 import json
+import resource
 from collections.abc import AsyncIterator
 from pathlib import Path
 from typing import Any
@@ -271,6 +272,26 @@
     run(test)
 
 
+def test_accept_outlives_a_want_of_descriptors(tmp_path: Path) -> None:
+    """Guards against a relay that stops to listen for good once the system gave it no descriptor."""
+
+    async def test() -> None:
+        async with world(tmp_path, GateServer()) as (it, discovery):
+            await until(lambda: discovery.calls)
+            pid, name = it.process.pid, resource.RLIMIT_NOFILE
+            before = resource.prlimit(pid, name)
+            resource.prlimit(pid, name, (len(list(Path(f"/proc/{pid}/fd").iterdir())) + 2, before[1]))
+            waiting = [await it.open() for _ in range(6)]
+            await until(lambda: it.logged("accept failed"))
+            for _, writer in waiting:
+                writer.close()
+            resource.prlimit(pid, name, before)
+            reader, _ = await opened(it)
+            assert await line(reader) == b"UP r1\r\n"
+
+    run(test)
+
+
 def test_core_knows_no_wire() -> None:
     for path in (ROOT / "violetdoor" / "core").glob("*.py"):
         for node in ast.walk(ast.parse(path.read_text())):
