--- a/tests/standins.py
+++ b/tests/standins.py
@@ -86,6 +86,7 @@
         self.servers, self.version, self.calls, self.broken = servers, 1, 0, False
         self.states = {s.address: "up" for s in servers}
         self.changed = asyncio.Event()
+        self.asked: list[int | None] = []  # the version of each call, None for the whole list
 
     def entry(self, address: str) -> dict[str, Any]:
         return {"id": f"s-{address}", "addr": address, "zone": "a", "kind": "k", "cell": 0,
@@ -105,10 +106,11 @@
             while (await reader.readline()).strip():
                 pass
             self.calls += 1
+            asked = re.search(rb"from=(\d+)&hold_ms=(\d+)", request)
+            self.asked.append(int(asked[1]) if asked else None)
             if self.broken:
                 writer.write(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
                 continue
-            asked = re.search(rb"from=(\d+)&hold_ms=(\d+)", request)
             if asked and int(asked[1]) >= self.version:
                 with contextlib.suppress(TimeoutError):
                     await asyncio.wait_for(self.changed.wait(), int(asked[2]) / 1000)
--- a/tests/test_line.py
+++ b/tests/test_line.py
@@ -7,6 +7,7 @@
 import contextlib
 import json
 import resource
+import signal
 from collections.abc import AsyncIterator
 from pathlib import Path
 from typing import Any
@@ -25,17 +26,25 @@
 
 
 @contextlib.asynccontextmanager
-async def front(tmp_path: Path, discovery: Discovery, sockets: int = 1024) -> AsyncIterator[Relay]:
+async def front(
+    tmp_path: Path, discovery: Discovery, sockets: int = 1024, **env: str
+) -> AsyncIterator[Relay]:
     path = tmp_path / "config.json"
     known = discovery.listed() if discovery.address and discovery.states else {}
     path.write_text(json.dumps({
         "name": "n1", "listen": "127.0.0.1:0", "discovery": discovery.address, "seed": "8c1f30d27a5be964",
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets}, "known": known, "settings": SETTINGS,
     }))  # fmt: skip
-    async with relay(BALANCER_CONFIG=str(path)) as it:
+    async with relay(BALANCER_CONFIG=str(path), **env) as it:
         yield it
 
 
+def rewrite(tmp_path: Path, discovery: str) -> None:
+    """Replace the configuration by one that names another discovery."""
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(json.loads(path.read_text()) | {"discovery": discovery}))
+
+
 @contextlib.asynccontextmanager
 async def world(tmp_path: Path, *servers: Standin) -> AsyncIterator[tuple[Relay, Discovery]]:
     async with contextlib.AsyncExitStack() as stack:
@@ -292,6 +301,45 @@
     run(test)
 
 
+def test_sighup_goes_over_to_the_discovery_in_the_file_and_nothing_else_changes(tmp_path: Path) -> None:
+    """Guards against an end by SIGHUP, against the environment outranking a file that is newer, and against
+    what the old address leaves behind: its version, its call that waits, the back-off of its failures."""
+
+    async def test() -> None:
+        one, two = GateServer(), GateServer()
+        async with one, two, Discovery(one) as old, Discovery(two) as new, Discovery(one) as last:
+            old.version, new.version = 41, 3
+            async with front(tmp_path, old, BALANCER_DISCOVERY=old.address) as it:
+                await until(lambda: old.asked[-1:] == [41])
+                standing, writer = await opened(it)
+                assert await line(standing) == b"UP r1\r\n"
+                old.broken = True
+                old.tell(one, "up")
+                await until(lambda: old.calls >= 4)  # the back-off grows
+                rewrite(tmp_path, "half an addr")
+                it.process.send_signal(signal.SIGHUP)
+                await until(lambda: it.logged("reload failed, the old values stay"))
+                for discovery, server in ((new, two), (last, one)):
+                    rewrite(tmp_path, discovery.address)
+                    began = asyncio.get_running_loop().time()
+                    it.process.send_signal(signal.SIGHUP)
+                    asked, wanted = discovery.asked, [discovery.version]
+                    await until(lambda asked=asked, wanted=wanted: asked[-1:] == wanted)  # type: ignore[misc]
+                    assert asyncio.get_running_loop().time() - began < 1
+                    assert discovery.asked[0] is None  # the whole list first, then the watch on it
+                    reader, _ = await opened(it)
+                    assert await line(reader) == b"UP r1\r\n"
+                    assert len(server.opened) == 1 + (server is one)
+                writer.write(b"still here\r\n")
+                assert await line(standing) == b"re still here\r\n"
+                it.process.send_signal(signal.SIGHUP)
+                it.process.terminate()
+                assert await standing.read(-1) == b"MOVE\r\n"
+                assert await it.process.wait() == 0
+
+    run(test)
+
+
 def test_core_knows_no_wire() -> None:
     for path in (ROOT / "violetdoor" / "core").glob("*.py"):
         for node in ast.walk(ast.parse(path.read_text())):
--- a/violetdoor/__main__.py
+++ b/violetdoor/__main__.py
@@ -2,7 +2,10 @@
 
 import argparse
 import logging
+import signal
 import sys
+from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 
 import uvloop
@@ -11,9 +14,9 @@
 from violetdoor.program import Program
 
 
-async def serve(config: Config) -> None:
+async def serve(config: Config, reread: Callable[[], Config]) -> None:
     """Run one relay from start to exit."""
-    await Program(config).run()
+    await Program(config, reread).run()
 
 
 def main() -> int:
@@ -21,10 +24,13 @@
     parser = argparse.ArgumentParser(prog="violetdoor", description="A relay for long-lived connections.")
     parser.add_argument("--config", type=Path, help="an operator's TOML file for the NATS front")
     path = parser.parse_args().config
+    # Guards against an end by a SIGHUP that comes before the loop handles it: it stays pending until then.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s %(message)s")
     try:
-        config = from_platform() if path is None else from_operator(path)
-        uvloop.run(serve(config))
+        read = from_platform if path is None else partial(from_operator, path)
+        reread = partial(from_platform, again=True) if path is None else read
+        uvloop.run(serve(read(), reread))
     except ConfigError as err:
         print(f"violetdoor: {err}", file=sys.stderr)
         return 2
--- a/violetdoor/config.py
+++ b/violetdoor/config.py
@@ -10,7 +10,7 @@
 import socket
 import tomllib
 from collections.abc import Mapping
-from dataclasses import dataclass, fields
+from dataclasses import dataclass, fields, replace
 from pathlib import Path
 from typing import Any
 
@@ -42,9 +42,20 @@
     tells_delay: bool
     nats: NatsOptions | None = None  # none: the front is that of the line protocol
 
+    def fixed_changes(self, new: Config) -> list[str]:
+        """What is different in a newer configuration and takes a restart."""
+        names = ("name", "listen", "settings", "sockets", "connect_timeout", "deadlines", "tells_delay")
+        changed = [name for name in names if getattr(self, name) != getattr(new, name)]
+        if self.nats and new.nats and replace(self.nats, tenants={}) != replace(new.nats, tenants={}):
+            changed.append("nats")
+        return changed
 
-def from_platform() -> Config:
-    """Read what the platform tells a relay by the environment and the file that it names."""
+
+def from_platform(again: bool = False) -> Config:
+    """Read what the platform tells a relay by the environment and the file that it names.
+
+    Read again, the file outranks the environment, which still says what held at the start.
+    """
     try:
         path = os.environ["BALANCER_CONFIG"]
     except KeyError as err:
@@ -52,10 +63,11 @@
     try:
         data = orjson.loads(Path(path).read_bytes())
         facts = data["settings"]
+        told = None if again else os.environ.get("BALANCER_DISCOVERY")
         return Config(
             name=os.environ.get("BALANCER_NAME") or data["name"],
             listen=parse_address(os.environ.get("BALANCER_LISTEN") or data["listen"]),
-            discovery=parse_address(os.environ.get("BALANCER_DISCOVERY") or data["discovery"]),
+            discovery=parse_address(told or data["discovery"]),
             seed=int(str(data.get("seed", "0")), 16),
             settings=settings_from(facts),
             known=data.get("known") or {},
--- a/violetdoor/fronts/nats/front.py
+++ b/violetdoor/fronts/nats/front.py
@@ -52,6 +52,7 @@
     ) -> None:  # fmt: skip
         self.core, self.directory, self.counts = core, directory, counts
         self.options, self.deadlines, self.name = options, deadlines, name
+        self.tenants = options.tenants  # a reload may change these, nothing else of the options
         self.identity = secrets.token_hex(28).upper()
         self.leaving = False
         self.sessions: set[Session] = set()
@@ -77,7 +78,7 @@
 
     def tenant_of(self, user: str) -> tuple[str, str] | None:
         """The tenant and class of a user, or nothing for one that is not let in."""
-        return self.options.tenants.get(user) or self.options.tenants.get("*")
+        return self.tenants.get(user) or self.tenants.get("*")
 
     async def session(self, sock: socket.socket) -> bool:
         """Serve one client."""
--- a/violetdoor/net/discovery.py
+++ b/violetdoor/net/discovery.py
@@ -73,56 +73,16 @@
         self.complete = True
 
 
-class Watch:
-    """Asks discovery while the module wants to follow it; a failure ends the watch and is told."""
+class _Connection:
+    """One connection to discovery, opened when a call needs it."""
 
-    def __init__(
-        self, address: Address, directory: Directory, deliver: Callable[[i.ServerList], None],
-        counts: Counters,
-    ) -> None:  # fmt: skip
-        self.address, self.directory, self.deliver, self.counts = address, directory, deliver, counts
+    def __init__(self, address: Address) -> None:
+        self.address = address
         self._sock: socket.socket | None = None
-        self._task: asyncio.Task[None] | None = None
         self._buffer = bytearray(16 * 1024)
 
-    def follow(self) -> None:
-        """Start to watch, unless that runs already."""
-        if self._task is None or self._task.done():
-            self._task = asyncio.get_running_loop().create_task(self._run())
-
-    async def stop(self) -> None:
-        """End the watch."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
-        self._drop()
-
-    async def _run(self) -> None:
-        while True:
-            self.counts["discovery_calls"] += 1
-            try:
-                async with asyncio.timeout(HOLD_MS / 1000 + GRACE):
-                    data = orjson.loads(await self._call())
-                servers = self.directory.read(data)
-            except CALL_FAILED as err:
-                self.counts["discovery_failed"] += 1
-                log.warning("discovery call failed: %s %s", type(err).__name__, err)
-                self._drop()
-                # The module asks again in its own time: it spreads the calls of many relays and backs off.
-                self.deliver(i.ServerList(i.ListKind.REFUSED))
-                return
-            if servers.entries:
-                self.counts["discovery_changes"] += len(servers.entries)
-            try:
-                self.deliver(servers)
-            except Exception:  # one entry that the module can't take must not end the watch for good
-                self.counts["faults"] += 1
-                log.exception("the list could not be taken in")
-
-    async def _call(self) -> bytes:
-        version = self.directory.version
-        # Guards against asking for the whole list again and again while its version is 0.
-        query = "" if version is None else f"?from={version}&hold_ms={HOLD_MS}"
+    async def call(self, query: str) -> bytes:
+        """Ask for the list; the answer's body."""
         host = f"{self.address[0]}:{self.address[1]}"
         if self._sock is None:
             self._sock = await connect(self.address, CONNECT_TIMEOUT)
@@ -137,12 +97,81 @@
                 raise DiscoveryError("the connection ended before the answer")
             parser.feed_data(memoryview(self._buffer)[:got])
         if not parser.should_keep_alive():
-            self._drop()
+            self.drop()
         if (status := parser.get_status_code()) != 200:
             raise DiscoveryError(f"status {status}")
         return bytes(answer.body)
 
-    def _drop(self) -> None:
+    def drop(self) -> None:
+        """Close it; the next call opens it again."""
         if self._sock is not None:
             end(self._sock)
             self._sock = None
+
+
+class Watch:
+    """Asks discovery while the module wants to follow it; a failure ends the watch and is told."""
+
+    def __init__(
+        self, address: Address, directory: Directory, deliver: Callable[[i.ServerList], None],
+        counts: Counters,
+    ) -> None:  # fmt: skip
+        self.address, self.directory, self.deliver, self.counts = address, directory, deliver, counts
+        self._task: asyncio.Task[None] | None = None
+
+    def follow(self) -> None:
+        """Start to watch, unless that runs already."""
+        if self._task is None or self._task.done():
+            self._task = asyncio.get_running_loop().create_task(self._run(_Connection(self.address)))
+
+    def go_over(self, address: Address) -> None:
+        """Leave the old address at once and ask this one for the whole list.
+
+        Guards against what a changed address leaves behind: a version that means nothing there, a call that
+        waits at the old one, and the back-off that the old one's failures have earned.
+        """
+        if self._task is not None:
+            self._task.cancel()  # it closes its own connection, and delivers nothing any more
+            self._task = None
+        self.address, self.directory.version = address, None
+        self.deliver(i.ServerList(i.ListKind.CHANGES))  # no change, and no failure either: back-off ends
+        self.follow()
+
+    async def stop(self) -> None:
+        """End the watch."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _run(self, connection: _Connection) -> None:
+        try:
+            while await self._once(connection):
+                pass
+        finally:
+            connection.drop()
+
+    async def _once(self, connection: _Connection) -> bool:
+        """Call once and deliver the answer; whether the watch goes on."""
+        self.counts["discovery_calls"] += 1
+        version = self.directory.version
+        # Guards against asking for the whole list again and again while its version is 0.
+        query = "" if version is None else f"?from={version}&hold_ms={HOLD_MS}"
+        try:
+            # A call for the whole list has no wait in it: a new address that says nothing is found out soon.
+            async with asyncio.timeout(GRACE + (HOLD_MS / 1000 if query else 0.0)):
+                data = orjson.loads(await connection.call(query))
+            servers = self.directory.read(data)
+        except CALL_FAILED as err:
+            self.counts["discovery_failed"] += 1
+            log.warning("discovery call failed: %s %s", type(err).__name__, err)
+            # The module asks again in its own time: it spreads the calls of many relays and backs off.
+            self.deliver(i.ServerList(i.ListKind.REFUSED))
+            return False
+        if servers.entries:
+            self.counts["discovery_changes"] += len(servers.entries)
+        try:
+            self.deliver(servers)
+        except Exception:  # one entry that the module can't take must not end the watch for good
+            self.counts["faults"] += 1
+            log.exception("the list could not be taken in")
+        return True
--- a/violetdoor/program.py
+++ b/violetdoor/program.py
@@ -6,10 +6,11 @@
 import logging
 import signal
 import time
+from collections.abc import Callable
 from enum import Enum
 
 from lynxdeck import interface as i
-from violetdoor.config import Config
+from violetdoor.config import Config, ConfigError
 from violetdoor.core import Controller
 from violetdoor.fronts.line.front import LineFront
 from violetdoor.fronts.nats.front import NatsFront
@@ -38,10 +39,11 @@
 class Program:
     """One relay."""
 
-    def __init__(self, config: Config) -> None:
-        self.config, self.counts, self.phase = config, Counters(), Phase.STARTING
+    def __init__(self, config: Config, reread: Callable[[], Config]) -> None:
+        self.config, self.reread, self.counts, self.phase = config, reread, Counters(), Phase.STARTING
         self.directory = Directory()
         self.stop = asyncio.Event()
+        self.watch: Watch | None = None
 
     def enter(self, phase: Phase) -> None:
         """Go on to the next phase."""
@@ -52,6 +54,33 @@
         """Print the counters."""
         log.info("counters: %s", self.counts.line())
 
+    def reload(self, core: Controller, front: LineFront | NatsFront) -> None:
+        """Read the configuration again and go over to it, whatever phase this is; clients notice nothing.
+
+        Guards against a file that is half written or wrong: then all stays as it was.
+        """
+        try:
+            new = self.reread()
+            if (new.discovery is None) != (self.watch is None):
+                raise ConfigError("from discovery to a list of servers, or back, takes a restart")
+            if not new.deadlines.keys() <= self.config.deadlines.keys():
+                raise ConfigError("a new class takes a restart")
+        except ConfigError as err:
+            self.counts["reload_failed"] += 1
+            log.error("reload failed, the old values stay: %s", err)
+            return
+        self.counts["reloads"] += 1
+        if isinstance(front, NatsFront) and new.nats is not None:
+            front.tenants = new.nats.tenants
+        where = "the listed servers"
+        if self.watch is not None and new.discovery is not None:
+            where = "discovery at {}:{}".format(*new.discovery)
+            self.watch.go_over(new.discovery)
+        else:
+            core.listed(self.directory.read(new.known, i.ListKind.COMPLETE))
+        changed = ", ".join(self.config.fixed_changes(new)) or "nothing"
+        log.info("reloaded: %s; changed, but takes a restart: %s", where, changed)
+
     def front(self, core: Controller) -> LineFront | NatsFront:
         """The one front that this program has."""
         c = self.config
@@ -73,11 +102,13 @@
         core = Controller(config.settings, config.seed, unix_clock, config.tells_delay)
         watch = None
         if config.discovery is not None:
-            watch = Watch(config.discovery, self.directory, core.listed, self.counts)
+            watch = self.watch = Watch(config.discovery, self.directory, core.listed, self.counts)
             core.follow = watch.follow
         known = i.ListKind.COMPLETE if watch is None else i.ListKind.REMEMBERED
         core.listed(self.directory.read(config.known, known))
         front = self.front(core)
+        loop.add_signal_handler(signal.SIGHUP, self.reload, core, front)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
         serving, stopping = loop.create_task(front.run()), loop.create_task(self.stop.wait())
         self.enter(Phase.SERVING)
         log.info("listening on %s:%d", *front.acceptor.address)
