--- a/violetdoor/fronts/line/front.py
+++ b/violetdoor/fronts/line/front.py
@@ -21,7 +21,10 @@
 # plus this much after SIGTERM.
 CALM_EXIT = 0.2  # s before the kill by which the program is gone
 STILL_COMING = 0.45  # s after SIGTERM for which the front layer still sends connections
-MOVED_PART, STEP = 0.7, 0.05  # part of that time by which all standing clients are moved; s between steps
+# Parts of that time between which all standing clients are moved. Guards against sending them away while there
+# is nowhere to go: in a rolling restart the relay before this one may still be coming back, and until its MOVE a
+# client is served here.
+MOVE_FROM, MOVED_BY, STEP = 0.6, 0.9, 0.05  # s between steps
 LEAVE_RETRY = 300  # ms after which a client may come again that arrives while the program leaves
 
 
@@ -88,7 +91,7 @@
         self.leaving = True
         loop = asyncio.get_running_loop()
         began = loop.time()
-        first, last = began + STILL_COMING, began + self.leave_within * MOVED_PART
+        first, last = began + self.leave_within * MOVE_FROM, began + self.leave_within * MOVED_BY
         while loop.time() < began + (self.leave_within if self.acceptor.tasks else STILL_COMING):
             if loop.time() >= first:
                 tickets = [s.ticket for s in self.standing if s.ticket and not s.ticket.move.done()]
