--- a/lynxdeck/interface.py
+++ b/lynxdeck/interface.py
@@ -95,7 +95,8 @@
     period: float = 1.0  # shortest gap between two calls of the module
     ask_list: bool = False  # the list comes only to nodes that ask
     ask_within: float = 10_000.0
-    probes: bool = True
+    probes: bool = True  # a probe brings a load report
+    probe_times: bool = False  # it brings none, but takes long where much work waits
     max_attempts: int = 1
     max_retry_after: float = 1_000.0
     price_cross: float = 0.0
--- a/lynxdeck/policy.py
+++ b/lynxdeck/policy.py
@@ -30,6 +30,10 @@
 CROSS_WEIGHT, GROUP_STEP = 5.0, 0.1  # load over capacity to gain by a crossing, a point; by the next home
 HEALTH_DOWN, HEALTH_UP, HEALTH_LEAST = 0.4, 1.25, 0.02  # part of turns: times a failure, an interval; least
 SLOW, SLOW_LEAST = 5.0, 25.0  # times the quickest server's set-up, and ms, from which one is overloaded
+PROBE_LATE, PROBE_LEAST, PROBE_SEVERE = 2.0, 4.0, 3.0  # times a server's quickest probe, and ms over it, from
+# which a probe is late; times that from which the server can hardly work at all
+LOOK_EACH = 20  # own connections from which a server is looked at in every interval
+PROBE_SPREAD = 2.0  # times the quickest server's quickest probe that a sound one's may take
 MOVE_ABOVE, MOVE_PAUSE = 0.95, 2_500.0  # load over capacity from which a server sheds; ms until seen
 BAD = (i.Result.FULL, i.Result.RESET, i.Result.UNREACHABLE, i.Result.ERROR, i.Result.TIMEOUT)
 
@@ -140,6 +144,8 @@
         self.weight = max(1e-9, sum(s.entry.weight * self.ramp(s) for s in self.servers.values() if s.ready))
         active = [t for t in self.tenants.values() if t.load + t.missed + t.demand > 0]
         late = sum(s.load is not None for s in self.servers.values()) / max(1, len(self.servers))
+        if self.settings.probe_times:  # they tell early, and one server's trouble leaves room at the others
+            late **= 2
         fleet, load = self.fleet or TYPICAL + (OVERLOAD - TYPICAL) * late, self.held()
         if load > 0:
             unit = load * self.settings.nodes / (fleet * self.weight)
@@ -158,6 +164,9 @@
             server.health = min(1.0, server.health * HEALTH_UP)
             if not self.settings.probes and server.report_at < self.now - 2 * INTERVAL:
                 server.load = None  # with its connections gone no note says that it has room again
+            held = len(server.open)  # a probe has its price: it is worth more the more connections it watches
+            if self.settings.probe_times and (server.load or held > LOOK_EACH * self.random.random()):
+                self.look(server)
         self.sent *= SMOOTH
 
     # Queue and pacing.
@@ -353,7 +362,11 @@
         old = event.latency if server.setup is None else server.setup
         server.setup = old + SMOOTH * (event.latency - old)
         self.quickest = min(self.quickest, server.setup)
-        if server.setup > max(SLOW_LEAST, SLOW * self.quickest):
+        slow = max(SLOW_LEAST, SLOW * self.quickest)
+        if self.settings.probe_times:  # one long set-up may be a pause: a reason to look, no more
+            if event.latency > slow:
+                self.look(server)
+        elif server.setup > slow:
             server.load, server.report_at = OVERLOAD, self.now
             self.shed(server, OVERLOAD)
 
@@ -422,11 +435,19 @@
             self.out.append(i.Probe(server.name))
         return server.probing
 
+    def look(self, server: Server) -> None:
+        """Probe for the time it takes; no placement waits for that."""
+        if server.ready and not server.probing:
+            server.probing = True
+            self.out.append(i.Probe(server.name))
+
     def probed(self, event: i.Probed) -> None:
         if (server := self.servers.get(event.server)) is None:
             return
         server.probing = False
-        if event.result is i.Result.OK:
+        if self.settings.probe_times:
+            self.timed(server, event)
+        elif event.result is i.Result.OK:
             self.report(server, event.report)
         else:
             self.distrust(server)
@@ -435,6 +456,29 @@
             if request.turns and not any(s.probing for s in request.turns):
                 self.choose(request)
 
+    def timed(self, server: Server, event: i.Probed) -> None:
+        """Where nothing reports load, a probe's time tells of it: it waits as a message does.
+
+        Guards against an overloaded server that looks sound until it drops connections, and, by a second$
+        right after a late one, against taking a short pause of its process for overload.
+        """
+        if event.result in (i.Result.UNREACHABLE, i.Result.RESET):
+            self.distrust(server)
+            return
+        if event.result is i.Result.OK:
+            server.quick = min(server.quick, event.latency)
+        base = min(server.quick, PROBE_SPREAD * min(s.quick for s in self.servers.values()))
+        over = event.latency / max(PROBE_LATE * base, PROBE_LEAST + base)
+        if over <= 1:
+            if server.doubted:  # else what it is held for was told otherwise
+                server.doubted, server.load = False, None
+        elif not server.doubted:
+            server.doubted = True
+            self.look(server)
+        else:
+            server.load, server.report_at = OVERLOAD if over < PROBE_SEVERE else LOAD_CLIP, self.now
+            self.shed(server, server.load)
+
     def report(self, server: Server, values: Mapping[str, float]) -> None:
         server.report_at, load = self.now, values.get("load", values.get("util"))
         if load is not None:
--- a/lynxdeck/records.py
+++ b/lynxdeck/records.py
@@ -40,6 +40,8 @@
     report_at: float = -math.inf
     health: float = 1.0  # part of its turns that it gets
     setup: float | None = None  # ms that setting a connection up takes there, smoothed
+    quick: float = math.inf  # ms of its quickest probe
+    doubted: bool = False  # its last probe was late
     cold_since: float = 0.0  # the start for which it has cold turns
     moved_at: float = -math.inf
     in_order: bool = False  # has a place in the turn order
@@ -55,6 +57,7 @@
     def restart(self) -> None:
         """Forget what was true of the earlier process."""
         self.load, self.report_at, self.health, self.setup = None, -math.inf, 1.0, None
+        self.quick, self.doubted = math.inf, False
 
 
 @dataclass(slots=True, eq=False)
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -68,9 +68,16 @@
         self.first, self.echo = first, True
         self.opened: list[bytes] = []
         self.ended = 0
+        self.probes, self.pong_after = 0, 0.0
 
     async def serve(self, reader: Reader, writer: Writer) -> None:
-        self.opened.append(await reader.readline())
+        first = await reader.readline()
+        if first == b"PING\r\n":
+            self.probes += 1
+            await asyncio.sleep(self.pong_after)
+            writer.write(b"PONG\r\n")
+            return
+        self.opened.append(first)
         writer.write(self.first)
         while line := await reader.readline():
             if self.echo:
--- a/tests/test_line.py
+++ b/tests/test_line.py
@@ -27,13 +27,14 @@
 
 @contextlib.asynccontextmanager
 async def front(
-    tmp_path: Path, discovery: Discovery, sockets: int = 1024, **env: str
-) -> AsyncIterator[Relay]:
+    tmp_path: Path, discovery: Discovery, sockets: int = 1024, settings: dict[str, Any] = SETTINGS,
+    **env: str,
+) -> AsyncIterator[Relay]:  # fmt: skip
     path = tmp_path / "config.json"
     known = discovery.listed() if discovery.address and discovery.states else {}
     path.write_text(json.dumps({
         "name": "n1", "listen": "127.0.0.1:0", "discovery": discovery.address, "seed": "8c1f30d27a5be964",
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets}, "known": known, "settings": SETTINGS,
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets}, "known": known, "settings": settings,
     }))  # fmt: skip
     async with relay(BALANCER_CONFIG=str(path), **env) as it:
         yield it
@@ -46,12 +47,15 @@
 
 
 @contextlib.asynccontextmanager
-async def world(tmp_path: Path, *servers: Standin) -> AsyncIterator[tuple[Relay, Discovery]]:
+async def world(
+    tmp_path: Path, *servers: Standin, **changed: Any
+) -> AsyncIterator[tuple[Relay, Discovery]]:  # fmt: skip
     async with contextlib.AsyncExitStack() as stack:
         for server in servers:
             await stack.enter_async_context(server)
         discovery = await stack.enter_async_context(Discovery(*servers))
-        yield await stack.enter_async_context(front(tmp_path, discovery)), discovery
+        settings = SETTINGS | changed
+        yield await stack.enter_async_context(front(tmp_path, discovery, settings=settings)), discovery
 
 
 async def opened(it: Relay, values: bytes = b"c=checkin,t=acme,d=1000,g=5c0f") -> tuple[Reader, Writer]:
@@ -179,7 +183,8 @@
 
     async def test() -> None:
         server = GateServer()
-        async with world(tmp_path, server) as (it, _):
+        # Without notes of delays: these may move the client before the silence is found.
+        async with world(tmp_path, server, familyInfo={}) as (it, _):
             reader, writer = await opened(it)
             assert await line(reader) == b"UP r1\r\n"
             server.echo = False
@@ -305,6 +310,27 @@
     run(test)
 
 
+def test_server_whose_pongs_come_late_loses_clients_to_the_others(tmp_path: Path) -> None:
+    """Guards against what the echoes do not tell: they come at once from a server that is overloaded."""
+
+    async def test() -> None:
+        one, two = GateServer(), GateServer()
+        limits = SETTINGS["policyLimits"] | {"probes": True}
+        async with world(tmp_path, one, two, policyLimits=limits) as (it, _):
+            clients = [await opened(it, b"c=checkin,t=acme,d=1000") for _ in range(30)]
+            assert all([await line(reader) == b"UP r1\r\n" for reader, _ in clients])
+            await until(lambda: one.probes and two.probes)
+            moved = [asyncio.ensure_future(r.read(-1)) for r, _ in clients]
+            one.pong_after = 0.1
+            await until(lambda: one.ended)
+            await until(lambda: any(m.done() for m in moved))
+            assert {m.result() for m in moved if m.done()} == {b"MOVE\r\n"} and not two.ended
+            for m in moved:
+                m.cancel()
+
+    run(test)
+
+
 def test_sighup_goes_over_to_the_discovery_in_the_file_and_nothing_else_changes(tmp_path: Path) -> None:
     """Guards against an end by SIGHUP, against the environment outranking a file that is newer, and against
     what the old address leaves behind: its version, its call that waits, the back-off of its failures."""
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -1,5 +1,6 @@
 """The decision module alone, driven by events."""
 
+import math
 from collections import Counter
 from pathlib import Path
 
@@ -662,3 +663,83 @@
     assert 1 <= sent.count("s0") <= 3 < sent.count("s1")
     moved = {m.request for m in node.got(i.Move)}
     assert moved <= {n for n in range(1, 21) if sent[n - 1] == "s0"}
+
+
+def timed_node(servers: int = 4) -> Node:
+    """A node whose probes bring no report; each server has ten connections and one probe of 3 ms."""
+    node = Node(servers=servers, probe_times=True)
+    for request in range(1, 10 * servers + 1):
+        node.ask(request)
+        node.up(request)
+    while any(s.quick == math.inf for s in node.balancer.servers.values()):
+        node.run_to(node.now + 1000.0)
+        answer_probes(node, {})
+    return node
+
+
+def answer_probes(node: Node, times: dict[str, float]) -> None:
+    """Answer all probes that are out, those of `times` after so long, others after 3 ms."""
+    while probes := node.got(i.Probe):
+        for p in probes:
+            node.log.remove(p)
+            node.at(node.now, i.Probed(p.server, i.Result.OK, times.get(p.server, 3.0)))
+
+
+def test_server_whose_probes_take_long_is_left_out_and_sheds_until_they_are_quick_again() -> None:
+    """Guards against a server that looks sound, as its echoes do, until it drops its clients."""
+    node = timed_node()
+    slow = max(node.balancer.servers.values(), key=lambda s: len(s.open))
+    while not node.got(i.Move):
+        node.run_to(node.now + 1000.0)
+        answer_probes(node, {slow.name: 20.0})
+    assert {a.request for a in node.got(i.Move)} <= set(slow.open)
+    for request in range(100, 110):
+        node.ask(request)
+        assert slow.name not in node.sent(request)
+    node.run_to(node.now + 1100.0)
+    answer_probes(node, {})
+    assert slow.load is None
+
+
+def test_one_late_probe_or_set_up_is_a_pause_and_moves_nobody() -> None:
+    """Guards against emptying a sound server whose process paused: a second probe goes out at once."""
+    node = timed_node()
+    slow = max(node.balancer.servers.values(), key=lambda s: len(s.open))
+    while not node.got(i.Probe):
+        node.run_to(node.now + 1000.0)
+    first = node.got(i.Probe)
+    for p in first:
+        node.log.remove(p)
+        node.at(node.now, i.Probed(p.server, i.Result.OK, 60.0))
+    assert [p.server for p in node.got(i.Probe)] == [p.server for p in first]
+    answer_probes(node, {})
+    request = 200
+    while not node.sent(request) or node.sent(request)[-1] != slow.name:
+        request += 1
+        node.ask(request)
+    node.at(node.now, i.Established(request, 0, slow.name, 60.0))
+    assert [p.server for p in node.got(i.Probe)] == [slow.name]
+    answer_probes(node, {})
+    assert slow.load is None and not node.got(i.Move)
+
+
+def test_one_overloaded_server_of_five_does_not_make_the_budget_bind() -> None:
+    """Guards against refusing clients of a relay that restarts while four servers of five have room."""
+    node = timed_node(5)
+    slow = next(iter(node.balancer.servers.values()))
+    for _ in range(8):
+        node.run_to(node.now + 1100.0)
+        answer_probes(node, {slow.name: 20.0})
+    assert slow.load is not None
+    assert all(t.budget == math.inf for t in node.balancer.tenants.values())
+
+
+def test_busy_servers_are_looked_at_more_than_idle_ones() -> None:
+    """A probe has its price: servers that hold nothing of this node cost none."""
+    node = timed_node(2)
+    for request in list(node.balancer.servers["s0"].open):
+        node.end(request, i.Result.OK, final=True)
+    for _ in range(20):
+        node.run_to(node.now + 1100.0)
+        assert {p.server for p in node.got(i.Probe)} <= {"s1"}
+        answer_probes(node, {})
--- a/violetdoor/config.py
+++ b/violetdoor/config.py
@@ -63,13 +63,17 @@
     try:
         data = orjson.loads(Path(path).read_bytes())
         facts = data["settings"]
+        settings = settings_from(facts)
+        # Guards against servers that look sound until they drop their clients: where nothing reports load,
+        # echoes tell nothing of it either, unlike the simulator's notes. The time that a probe takes does.
+        probes = bool(facts.get("policyLimits", {}).get("probes"))
         told = None if again else os.environ.get("BALANCER_DISCOVERY")
         return Config(
             name=os.environ.get("BALANCER_NAME") or data["name"],
             listen=parse_address(os.environ.get("BALANCER_LISTEN") or data["listen"]),
             discovery=parse_address(told or data["discovery"]),
             seed=int(str(data.get("seed", "0")), 16),
-            settings=settings_from(facts),
+            settings=replace(settings, probe_times=probes and not settings.probes),
             known=data.get("known") or {},
             sockets=int(data.get("limits", {}).get("sockets", 1024)),
             connect_timeout=facts.get("policyLimits", {}).get("connectTimeout", 200.0) / 1000,
--- a/violetdoor/fronts/line/front.py
+++ b/violetdoor/fronts/line/front.py
@@ -67,11 +67,13 @@
 
     async def probe(self, server: str) -> i.Probed:
         """Check that a server answers."""
+        self.counts["probes"] += 1
         began, result = self.core.now(), i.Result.UNREACHABLE
         if address := self.directory.addresses.get(server):
             try:
                 link = LineSocket(await connect(address, self.connect_timeout))
             except OSError:
+                self.counts["probes_failed"] += 1
                 return i.Probed(server, result, self.core.now() - began)
             try:
                 async with asyncio.timeout(PROBE_TIMEOUT):
@@ -84,6 +86,7 @@
                 result = i.Result.RESET
             finally:
                 link.close()
+        self.counts["probes_failed"] += result is not i.Result.OK
         return i.Probed(server, result, self.core.now() - began)
 
     async def leave(self) -> None:
