--- a/tests/test_line.py
+++ b/tests/test_line.py
@@ -5,7 +5,10 @@
 import ast
 import asyncio
 import contextlib
+import itertools
 import json
+import logging
+import re
 import resource
 import signal
 from collections.abc import AsyncIterator
@@ -15,6 +18,9 @@
 import pytest
 from standins import ROOT, Discovery, GateServer, Reader, Relay, Standin, Writer, relay, run, until
 
+from violetdoor.fronts.line.opening import SyntaxFaultError, parse
+from violetdoor.net.logs import Limit
+
 SETTINGS: dict[str, Any] = {
     "classes": [{"name": "checkin", "goalTime": 300.0, "hardLimit": 1200.0, "worth": 1.0}],
     "familyInfo": {"messageAim": [250.0], "tellsDelay": True},
@@ -22,7 +28,7 @@
     "discovery": "on_request", "locality": "a", "balancers": 1, "period": 4.0,
     "rules": {"askWithin": 2000.0}, "report": {"how": "none"},
 }  # fmt: skip
-HEAD = b"OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 "
+IDS = itertools.count(1)
 
 
 @contextlib.asynccontextmanager
@@ -40,6 +46,11 @@
         yield it
 
 
+async def settled(it: Relay, name: str) -> int:
+    """A counter of the running program."""
+    return (await it.counters()).get(name, 0)
+
+
 def rewrite(tmp_path: Path, discovery: str) -> None:
     """Replace the configuration by one that names another discovery."""
     path = tmp_path / "config.json"
@@ -58,9 +69,14 @@
         yield await stack.enter_async_context(front(tmp_path, discovery, settings=settings)), discovery
 
 
+def first_line(values: bytes) -> bytes:
+    """An OPEN line with an id of its own."""
+    return b"OPEN %016x 7f3a9c21e0b4d655 %b\r\n" % (next(IDS), values)
+
+
 async def opened(it: Relay, values: bytes = b"c=checkin,t=acme,d=1000,g=5c0f") -> tuple[Reader, Writer]:
     reader, writer = await it.open()
-    writer.write(HEAD + values + b"\r\n")
+    writer.write(first_line(values))
     return reader, writer
 
 
@@ -88,7 +104,8 @@
             assert await line(reader) == b"re M 2 y\r\n"
             before, _, rest = server.opened[1].partition(b"d=")
             left, _, after = rest.partition(b",")
-            assert (before, after) == (HEAD + b"c=checkin,t=acme,", b"g=5c0f\r\n")
+            assert re.fullmatch(rb"OPEN [0-9a-f]{16} 7f3a9c21e0b4d655 c=checkin,t=acme,", before)
+            assert after == b"g=5c0f\r\n"
             assert 300 < int(left) < 1000
             writer.close()
             await until(lambda: server.ended == 1)
@@ -218,7 +235,7 @@
     async def test() -> None:
         server = GateServer(first=b"")
         async with world(tmp_path, server) as (it, _):
-            _, writer = await opened(it, b"c=checkin,d=60000")
+            _, writer = await opened(it, b"c=checkin,d=9000")
             await until(lambda: server.opened)
             writer.close()
             await until(lambda: server.ended == 1)
@@ -272,7 +289,7 @@
             GateServer() as server, Discovery(server) as discovery,
             front(tmp_path, discovery, sockets=54) as it,  # room for three clients
         ):  # fmt: skip
-            for bad in (b"x" * 9000, b"OPEN a b\r\n", HEAD + b"c=none,d=9\r\n", HEAD + b"c=checkin\r\n"):
+            for bad in (b"x" * 9000, b"OPEN a b\r\n", first_line(b"c=none,d=9"), first_line(b"c=checkin")):
                 reader, writer = await it.open()
                 writer.write(bad)
                 assert await line(reader) == b"ERR\r\n"
@@ -290,6 +307,105 @@
     run(test)
 
 
+def test_id_of_an_open_connection_is_refused_and_its_owner_untouched(tmp_path: Path) -> None:
+    """Guards against a copied id: the gate server turns it away, which then counts against a sound server."""
+
+    async def test() -> None:
+        server = GateServer()
+        async with world(tmp_path, server) as (it, _):
+            copied = first_line(b"c=checkin,t=acme,d=1000")
+            for _ in range(2):  # also once its owner is gone
+                reader, writer = await it.open()
+                writer.write(copied[:30])
+                writer.write(copied[30:] + b"M 1\r\nM 2\r\n")  # legal: in pieces, and more right behind it
+                if server.opened:
+                    assert await reader.read(-1) == b"ERR\r\n"
+                    break
+                assert [await line(reader) for _ in range(3)] == [b"UP r1\r\n", b"re M 1\r\n", b"re M 2\r\n"]
+                thief, other = await it.open()
+                other.write(copied)
+                assert await thief.read(-1) == b"ERR\r\n"
+                writer.write(b"M 3\r\n")
+                assert await line(reader) == b"re M 3\r\n"
+                writer.close()
+                await until(lambda: server.ended == 1)
+            assert len(server.opened) == 1
+            assert (await it.counters())["attempt_ok"] == 1
+
+    run(test)
+
+
+def test_hundreds_that_say_nothing_keep_nobody_out_and_get_an_end(tmp_path: Path) -> None:
+    """Guards against clients that hold descriptors and never ask: usual ones get in, those get a word."""
+
+    async def test() -> None:
+        async with (
+            GateServer() as server, Discovery(server) as discovery,
+            front(tmp_path, discovery, sockets=60) as it,  # room for twelve descriptors of clients
+        ):  # fmt: skip
+            silent = [await it.open() for _ in range(100)]
+            silent[-1][1].write(b"OPEN half a li")
+            for _ in range(5):
+                reader, _ = await opened(it)
+                assert await line(reader) == b"UP r1\r\n"
+            async with asyncio.timeout(3):
+                ends = [await r.read(-1) for r, _ in silent]
+            assert all(e in (b"", b"ERR\r\n") or e.startswith(b"BUSY ") for e in ends)
+            assert ends[-1]
+            assert not await settled(it, "accept_failed")
+
+    run(test)
+
+
+def test_answer_arrives_though_the_client_sent_more_than_was_read(tmp_path: Path) -> None:
+    """Guards against a close with unread bytes: it resets, and the client loses the line it was sent."""
+
+    async def test() -> None:
+        async with world(tmp_path, GateServer()) as (it, _):
+            for flood in (b"frob\r\n" * 5000, b"9" * 50_000):
+                reader, writer = await it.open()
+                writer.write(flood)
+                assert await reader.read(-1) == b"ERR\r\n"
+
+    run(test)
+
+
+GOOD = b"OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=checkin,t=acme,d=1000,g=5c0f,h=2.5,again=1,x1=any\r\n"
+
+
+@pytest.mark.parametrize(
+    ("part", "bad"),
+    [(b"d=1000", b"d=" + value) for value in (
+        b"", b"nan", b"inf", b"0", b"-5", b"+5", b"1e3", b"1_000", b"soon", b"9" * 23, b"999999999", b" 1")]
+    + [(b"h=2.5", b"h=" + value) for value in (b"nan", b"inf", b"-1", b"1e3", b"999999999")]
+    + [(b"5c0f", value) for value in (b"", b"-5c0f", b"0x5c", b"5_c0f", b"g" * 4, b"5" * 33)]
+    + [(b"9b1f03aa5c7e2d41", value) for value in (b"", b"-9b1f", b"zz", b"9" * 40)]
+    + [(b"7f3a9c21e0b4d655", b"7f_3a"), (b"again=1", b"again=yes"), (b"again=1", b"d=900")]
+    + [(b"t=acme", b"t=else"), (b"c=checkin", b"c=checkins"), (b"x1=any", b"x1"), (b"x1=any", b"")]
+    + [(b"OPEN ", b"open "), (b" c=", b"  c="), (b"\r\n", b"\n"), (b"any", b"\xff")],
+)  # fmt: skip
+def test_first_line_is_read_strictly(part: bytes, bad: bytes) -> None:
+    deadlines, tenants = {"checkin": 1200.0}, frozenset({"acme"})
+    opening = parse(memoryview(GOOD), deadlines, tenants)
+    assert (opening.time_left, opening.group, opening.load, opening.again) == (1000.0, 0x5C0F, 2.5, True)
+    assert b"".join(opening.parts(7.9)) == GOOD.replace(b"d=1000", b"d=7")
+    with pytest.raises(SyntaxFaultError):
+        parse(memoryview(GOOD.replace(part, bad, 1)), deadlines, tenants)
+
+
+def test_log_leaves_out_and_counts_what_repeats() -> None:
+    """Guards against a log that one client fills."""
+    limit, clock = Limit(), iter([0.0] * 20 + [11.0] * 2)
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr("violetdoor.net.logs.time.monotonic", lambda: next(clock))
+        records = [logging.LogRecord("violetdoor.x", 30, "", 0, "bad %s", (n,), None) for n in range(21)]
+        written = [r.getMessage() for r in records if limit.filter(r)]
+    assert written == [f"bad {n}" for n in range(5)] + ["bad 20 (and 15 like it left out)"]
+    assert limit.left_out == 15
+    phases = [logging.LogRecord("violetdoor", 20, "", 0, "a -> b", (), None) for _ in range(9)]
+    assert all(limit.filter(r) for r in phases)
+
+
 def test_accept_outlives_a_want_of_descriptors(tmp_path: Path) -> None:
     """Guards against a relay that stops to listen for good once the system gave it no descriptor."""
 
--- a/violetdoor/__main__.py
+++ b/violetdoor/__main__.py
@@ -11,12 +11,13 @@
 import uvloop
 
 from violetdoor.config import Config, ConfigError, from_operator, from_platform
+from violetdoor.net.logs import Limit
 from violetdoor.program import Program
 
 
-async def serve(config: Config, reread: Callable[[], Config]) -> None:
+async def serve(config: Config, reread: Callable[[], Config], limit: Limit) -> None:
     """Run one relay from start to exit."""
-    await Program(config, reread).run()
+    await Program(config, reread, limit).run()
 
 
 def main() -> int:
@@ -26,11 +27,14 @@
     path = parser.parse_args().config
     # Guards against an end by a SIGHUP that comes before the loop handles it: it stays pending until then.
     signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
-    logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s %(message)s")
+    handler, limit = logging.StreamHandler(), Limit()
+    handler.addFilter(limit)
+    form = "%(asctime)s %(levelname)s %(name)s %(message)s"
+    logging.basicConfig(level=logging.INFO, format=form, handlers=[handler])
     try:
         read = from_platform if path is None else partial(from_operator, path)
         reread = partial(from_platform, again=True) if path is None else read
-        uvloop.run(serve(read(), reread))
+        uvloop.run(serve(read(), reread, limit))
     except ConfigError as err:
         print(f"violetdoor: {err}", file=sys.stderr)
         return 2
--- a/violetdoor/config.py
+++ b/violetdoor/config.py
@@ -40,11 +40,13 @@
     connect_timeout: float
     deadlines: dict[str, float]
     tells_delay: bool
+    tenants: frozenset[str]  # of the line front; none: any
     nats: NatsOptions | None = None  # none: the front is that of the line protocol
 
     def fixed_changes(self, new: Config) -> list[str]:
         """What is different in a newer configuration and takes a restart."""
-        names = ("name", "listen", "settings", "sockets", "connect_timeout", "deadlines", "tells_delay")
+        names = ("name", "listen", "settings", "sockets", "connect_timeout", "deadlines", "tells_delay",
+                 "tenants")  # fmt: skip
         changed = [name for name in names if getattr(self, name) != getattr(new, name)]
         if self.nats and new.nats and replace(self.nats, tenants={}) != replace(new.nats, tenants={}):
             changed.append("nats")
@@ -78,6 +80,7 @@
             sockets=int(data.get("limits", {}).get("sockets", 1024)),
             connect_timeout=facts.get("policyLimits", {}).get("connectTimeout", 200.0) / 1000,
             deadlines={c["name"]: float(c["hardLimit"]) for c in facts["classes"]},
+            tenants=frozenset(str(a["name"]) for a in facts.get("accounts") or ()),
             tells_delay=bool(facts.get("familyInfo", {}).get("tellsDelay")),
         )
     except OSError as err:
@@ -172,5 +175,6 @@
         connect_timeout=options.connect_timeout,
         deadlines=deadlines,
         tells_delay=True,
+        tenants=frozenset(),
         nats=options,
     )
--- a/violetdoor/fronts/line/front.py
+++ b/violetdoor/fronts/line/front.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import socket
+from collections import OrderedDict
 
 from lynxdeck import interface as i
 from violetdoor.core import Controller
@@ -25,6 +26,8 @@
 # have nowhere to go: in a rolling restart the relay before this one may still be coming back, and until its
 # MOVE a client is served here.
 MOVE_FROM, MOVED_BY, STEP = 0.6, 0.9, 0.05  # s between steps
+ADOPT_WITHIN = 60.0  # s from the start in which connections of an earlier run come back
+SEEN_MOST = 4096  # ids of ended connections that are remembered
 LEAVE_RETRY = 300  # ms after which a client may come again that arrives while the program leaves
 
 
@@ -33,17 +36,40 @@
 
     def __init__(
         self, address: Address, core: Controller, directory: Directory, counts: Counters,
-        connect_timeout: float, sockets: int, longest_deadline: float,
+        connect_timeout: float, sockets: int, deadlines: dict[str, float], tenants: frozenset[str],
     ) -> None:  # fmt: skip
         self.core, self.directory, self.counts = core, directory, counts
         self.connect_timeout, self.leave_retry, self.idle = connect_timeout, LEAVE_RETRY, 60.0
         busy = b"BUSY %d\r\n" % LEAVE_RETRY
         self.acceptor = Acceptor(address, self.session, counts, sockets, over_limit=busy)
-        self.leave_within = min(longest_deadline, MOST_DEADLINE) + KILL_AFTER - CALM_EXIT
+        self.deadlines, self.tenants = deadlines, tenants
+        self.open: set[int] = set()  # ids of the connections that are served
+        self.seen: OrderedDict[int, None] = OrderedDict()  # ids of lately, oldest first
+        self.adopt_until = core.now() + ADOPT_WITHIN * 1000
+        longest = max(deadlines.values(), default=0.0) / 1000
+        self.leave_within = min(longest, MOST_DEADLINE) + KILL_AFTER - CALM_EXIT
         self.leaving = False
         self.standing: set[Session] = set()
         core.prober = self.probe
 
+    def take_id(self, number: int) -> bool:
+        """Whether this id is new; it counts as seen from now on.
+
+        Guards against a client that uses the id of another: the gate server turns it away, and that would
+        count against a sound server.
+        """
+        if number in self.open or number in self.seen:
+            return False
+        self.open.add(number)
+        return True
+
+    def end_id(self, number: int) -> None:
+        """The connection of this id is over; no other may use it for a good while."""
+        self.open.discard(number)
+        self.seen[number] = None
+        if len(self.seen) > SEEN_MOST:
+            self.seen.popitem(last=False)
+
     async def run(self) -> None:
         """Take in clients for ever."""
         await self.acceptor.run()
--- a/violetdoor/fronts/line/session.py
+++ b/violetdoor/fronts/line/session.py
@@ -16,7 +16,7 @@
 
 log = logging.getLogger("violetdoor.line")
 
-FIRST_LINE = 10.0  # s that a new connection has for its first line
+FIRST_LINE = 2.0  # s that a new connection has for its first line; an end is owed within 3
 ADOPT_TIME, ADOPT_PAUSE = 35.0, 0.3  # s to bring up a connection from before the run; between two tries
 MOVE_WRITE = 0.5  # s that a client has to take its MOVE
 CLIENT_WRITE = 5.0  # s that a client may leave its lines unread
@@ -40,8 +40,13 @@
         """Answer a first line: a check of the front, or a request."""
         client, front = self.client, self.front
         arrived = self.core.now()
-        async with asyncio.timeout(FIRST_LINE):
-            length = await client.line()
+        try:
+            async with asyncio.timeout(FIRST_LINE):
+                length = await client.line()
+        except TimeoutError:
+            front.counts["no_first_line"] += 1
+            await self.answer("failed", b"ERR\r\n")
+            return
         while length and client.buffer[:length].rstrip(b"\r\n") == b"PING":
             front.counts["pings"] += 1
             client.consume(length)
@@ -52,9 +57,12 @@
         if not length:
             return
         try:
-            opening = parse(client.view[:length])
-            if opening.cls not in self.core.settings.classes:
-                raise SyntaxFaultError(f"unknown class {opening.cls!r}")
+            opening = parse(client.view[:length], front.deadlines, front.tenants)
+            known = opening.at in front.directory.addresses and self.core.now() < front.adopt_until
+            if opening.at and not known:
+                raise SyntaxFaultError("no connection of an earlier run is brought back there")
+            if not front.take_id(opening.id):
+                raise SyntaxFaultError("an id that another connection has")
         except SyntaxFaultError as err:
             front.counts["syntax"] += 1
             log.warning("bad first line: %s", err)
@@ -62,9 +70,19 @@
             return
         client.consume(length)
         front.counts["opens"] += 1
+        try:
+            await self.opened(opening, arrived)
+        finally:
+            front.end_id(opening.id)
+
+    async def opened(self, opening: Opening, arrived: float) -> None:
+        """Serve a client that sent a sound line."""
+        front = self.front
         reader = self.loop.create_task(self.from_client())
         try:
-            if opening.at:
+            if not front.acceptor.admit():
+                await self.answer("busy", b"BUSY %d\r\n" % front.leave_retry)
+            elif opening.at:
                 await self.bring_back(opening)
             elif front.leaving:
                 await self.answer("busy", b"BUSY %d\r\n" % front.leave_retry)
--- a/violetdoor/fronts/nats/session.py
+++ b/violetdoor/fronts/nats/session.py
@@ -105,6 +105,8 @@
         except TimeoutError as err:
             raise ProtocolError("Authentication Timeout") from err
         if frame is not None:
+            if not self.front.acceptor.admit():
+                raise ProtocolError("maximum connections exceeded")
             self.connect(frame.args[0] if frame.op == "CONNECT" else b"{}")
         return frame
 
--- a/violetdoor/net/acceptor.py
+++ b/violetdoor/net/acceptor.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import random
 import socket
@@ -10,12 +11,14 @@
 from typing import TypeVar
 
 from violetdoor.net.counters import Counters
-from violetdoor.net.sockets import Address, end, listen, send_parts
+from violetdoor.net.sockets import Address, end, listen
 
 log = logging.getLogger("violetdoor.accept")
 
 ACCEPT_PAUSE = 0.05  # s until the next try when no descriptor was free
-LINGER = 1.0  # s that a client over the limit has to send something and read its answer
+LINGER, LINGER_MOST = 0.3, 1 << 17  # s, and bytes thrown away, that a client has to read its last line
+PATIENCE = 0.25  # s that a client may wait in any case while there are descriptors
+WAITING_PART = 3  # at most one in so many descriptors is held by clients that were not admitted
 RESERVED = 48  # descriptors kept for discovery, probes, the log and answers to clients over the limit
 
 
@@ -29,18 +32,40 @@
     return random.sample(waiting, min(len(waiting), count))
 
 
+async def linger(sock: socket.socket) -> None:
+    """End the sending side and wait a little for the client's end.
+
+    Guards against a close with unread bytes, or just before the client's next ones: that resets the
+    connection, and the client may lose the last line it was sent.
+    """
+    loop, room = asyncio.get_running_loop(), LINGER_MOST
+    with contextlib.suppress(OSError):
+        sock.shutdown(socket.SHUT_WR)
+        async with asyncio.timeout(LINGER):
+            while room > 0 and (got := await loop.sock_recv(sock, 16 * 1024)):
+                room -= len(got)
+
+
 class Acceptor:
-    """The listening socket of a front; each connection is served by a task of its own."""
+    """The listening socket of a front; each connection is served by a task of its own.
+
+    A client waits until its front admits it, for its first words. Guards against clients that say nothing:
+    they hold a bounded part of the descriptors; the one that waits longest goes when another needs the place.
+    """
 
     def __init__(
         self, address: Address, serve: Callable[[socket.socket], Awaitable[bool]], counts: Counters,
         sockets: int, over_limit: bytes,
     ) -> None:  # fmt: skip
         self.serve, self.counts, self.over_limit = serve, counts, over_limit
-        self.most = max(1, (sockets - RESERVED) // 2)  # each client may need a second socket
+        self.room = max(2, sockets - RESERVED)
         self.sock = listen(address)
         self.address: Address = self.sock.getsockname()[:2]
         self.tasks: set[asyncio.Task[None]] = set()
+        # Since when each has waited that was not admitted or is about to end, longest first.
+        self.waiting: dict[asyncio.Task[None], float] = {}
+        self.admitted: set[asyncio.Task[None]] = set()
+        self.evicted: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
         """Take in clients for ever."""
@@ -58,7 +83,49 @@
             self.counts["accepted"] += 1
             task = loop.create_task(self._connection(sock))
             self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
+            self.waiting[task] = loop.time()
+            task.add_done_callback(self._over)
+            while self.held() > self.room and self._evict(besides=task):
+                pass
+            if len(self.waiting) > max(1, self.room // WAITING_PART):
+                self._evict(besides=task, least=PATIENCE)
+            # A full backlog comes without a pause: each client's first words are read before the next is
+            # taken in, or those that are about to speak would be sent away with those that never do.
+            await asyncio.sleep(0)
+
+    def held(self) -> int:
+        """Descriptors that the clients may need: an admitted one has a second for its server."""
+        return len(self.tasks) - len(self.evicted) + len(self.admitted)
+
+    def admit(self) -> bool:
+        """The running task's client said what it wants: whether there is room to serve it."""
+        task = asyncio.current_task()
+        assert task is not None
+        while self.held() >= self.room and self._evict(besides=task):
+            pass
+        if self.held() >= self.room or self.waiting.pop(task, None) is None:
+            self.counts["over_limit"] += 1
+            return False
+        self.admitted.add(task)
+        return True
+
+    def _evict(self, besides: asyncio.Task[None], least: float = 0.0) -> bool:
+        """Send away the client that waits longest, if it has waited for so long; whether one went."""
+        now = asyncio.get_running_loop().time()
+        task = next((t for t in self.waiting if t is not besides), None)
+        if task is None or now - self.waiting[task] < least:
+            return False
+        self.counts["evicted"] += 1
+        del self.waiting[task]
+        self.evicted.add(task)
+        task.cancel()
+        return True
+
+    def _over(self, task: asyncio.Task[None]) -> None:
+        self.tasks.discard(task)
+        self.waiting.pop(task, None)
+        self.admitted.discard(task)
+        self.evicted.discard(task)
 
     async def _connection(self, sock: socket.socket) -> None:
         """One client, whatever happens to it: its fault stays its own."""
@@ -66,23 +133,32 @@
         try:
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            if len(self.tasks) > self.most:
-                self.counts["over_limit"] += 1
-                await send_parts(sock, [self.over_limit])
-                # Closing with the client's first bytes unread would reset the connection and lose the answer.
-                async with asyncio.timeout(LINGER):
-                    await asyncio.get_running_loop().sock_recv(sock, 4096)
-            else:
-                reset = await self.serve(sock)
+            reset = await self.serve(sock)
+            if not reset:
+                await self._part(sock)
+        except asyncio.CancelledError:
+            if asyncio.current_task() not in self.evicted:
+                raise
+            with contextlib.suppress(OSError):
+                sock.send(self.over_limit)
         except OSError as err:
             self.counts["client_broke"] += 1
             log.info("a client's connection broke: %s %s", type(err).__name__, err)
         except Exception:
             self.counts["faults"] += 1
             log.exception("a session failed")
+            await self._part(sock)
         finally:
             end(sock, reset)
 
+    async def _part(self, sock: socket.socket) -> None:
+        """See a client off: it holds one descriptor now, and goes first when another needs that."""
+        task = asyncio.current_task()
+        if task in self.tasks and task not in self.evicted:
+            self.admitted.discard(task)
+            self.waiting[task] = asyncio.get_running_loop().time()
+        await linger(sock)
+
     async def close(self) -> None:
         """Stop listening, end what is still served."""
         self.sock.close()
--- /dev/null
+++ b/violetdoor/net/logs.py
@@ -0,0 +1,49 @@
+"""The program's log: a line that comes again and again is left out and counted."""
+
+from __future__ import annotations
+
+import logging
+import time
+from dataclasses import dataclass
+
+LINES, WINDOW = 5, 10.0  # lines of one kind that are written in so many seconds
+KINDS_MOST = 256
+
+
+@dataclass(slots=True)
+class _Kind:
+    until: float
+    written: int = 0
+    left_out: int = 0
+
+
+class Limit(logging.Filter):
+    """Lets so many lines of one text and logger through in a window; the next one tells how many it left out.
+
+    Guards against clients that fill the log, and take the processor for it, by doing one thing for ever.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.kinds: dict[tuple[str, str], _Kind] = {}
+        self.left_out = 0
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Whether to write this line; the program's own lines on its phases always are."""
+        if record.name == "violetdoor":
+            return True
+        now, name = time.monotonic(), (record.name, str(record.msg))
+        kind = self.kinds.get(name)
+        if kind is None or now >= kind.until:
+            left_out = kind.left_out if kind else 0
+            if len(self.kinds) >= KINDS_MOST:
+                self.kinds.clear()
+            kind = self.kinds[name] = _Kind(now + WINDOW)
+            if left_out:
+                record.msg = f"{record.msg} (and {left_out} like it left out)"
+        if kind.written >= LINES:
+            kind.left_out += 1
+            self.left_out += 1
+            return False
+        kind.written += 1
+        return True
--- a/violetdoor/program.py
+++ b/violetdoor/program.py
@@ -16,6 +16,7 @@
 from violetdoor.fronts.nats.front import NatsFront
 from violetdoor.net.counters import Counters
 from violetdoor.net.discovery import Directory, Watch
+from violetdoor.net.logs import Limit
 
 log = logging.getLogger("violetdoor")
 
@@ -39,7 +40,8 @@
 class Program:
     """One relay."""
 
-    def __init__(self, config: Config, reread: Callable[[], Config]) -> None:
+    def __init__(self, config: Config, reread: Callable[[], Config], limit: Limit) -> None:
+        self.limit = limit
         self.config, self.reread, self.counts, self.phase = config, reread, Counters(), Phase.STARTING
         self.directory = Directory()
         self.stop = asyncio.Event()
@@ -52,6 +54,8 @@
 
     def report(self) -> None:
         """Print the counters."""
+        if self.limit.left_out:
+            self.counts["log_lines_left_out"] = self.limit.left_out
         log.info("counters: %s", self.counts.line())
 
     def reload(self, core: Controller, front: LineFront | NatsFront) -> None:
@@ -85,10 +89,10 @@
         """The one front that this program has."""
         c = self.config
         if c.nats is None:
-            longest = max(c.deadlines.values(), default=0.0) / 1000
             return LineFront(
-                c.listen, core, self.directory, self.counts, c.connect_timeout, c.sockets, longest
-            )
+                c.listen, core, self.directory, self.counts, c.connect_timeout, c.sockets, c.deadlines,
+                c.tenants,
+            )  # fmt: skip
         return NatsFront(
             c.listen, core, self.directory, self.counts, c.nats, c.deadlines, c.sockets, c.name
         )
