--- a/violetdoor/fronts/line/front.py
+++ b/violetdoor/fronts/line/front.py
@@ -25,7 +25,7 @@
 # Parts of that time between which all standing clients are moved. Guards against sending them away while they
 # have nowhere to go: in a rolling restart the relay before this one may still be coming back, and until its
 # MOVE a client is served here.
-MOVE_FROM, MOVED_BY, STEP = 0.75, 0.92, 0.05  # s between steps
+MOVE_FROM, MOVED_BY, STEP = 0.6, 0.92, 0.05  # s between steps
 ADOPT_WITHIN = 60.0  # s from the start in which connections of an earlier run come back
 SEEN_MOST = 4096  # ids of ended connections that are remembered
 LEAVE_RETRY = 300  # ms after which a client may come again that arrives while the program leaves
