--- a/tests/test_nats.py
+++ b/tests/test_nats.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import json
+import signal
 import subprocess
 import sys
 from collections import Counter
@@ -37,14 +38,21 @@
 """
 
 
-@contextlib.asynccontextmanager
-async def front(
+def write(
     tmp_path: Path, *servers: NatsServer, options: str = "", deadline: int = 3000, discovery: str = ""
-) -> AsyncIterator[Relay]:
+) -> Path:
     text = CONFIG.format(options=options, deadline=deadline, discovery=discovery)
     text += "".join(f'[[servers]]\naddr = "{s.address}"\n' for s in servers)
     path = tmp_path / "nats.toml"
     path.write_text(text)
+    return path
+
+
+@contextlib.asynccontextmanager
+async def front(
+    tmp_path: Path, *servers: NatsServer, options: str = "", deadline: int = 3000, discovery: str = ""
+) -> AsyncIterator[Relay]:
+    path = write(tmp_path, *servers, options=options, deadline=deadline, discovery=discovery)
     async with relay("--config", str(path)) as it:
         yield it
 
@@ -248,6 +256,32 @@
     run(test)
 
 
+def test_sighup_takes_over_servers_and_tenants_and_leaves_sessions_alone(tmp_path: Path) -> None:
+    """Guards against a reload that ends sessions, and against a wrong file that changes half of it all."""
+
+    async def test() -> None:
+        async with NatsServer() as one, NatsServer() as two, front(tmp_path, one) as it:
+            old = await Client.connect(it, user="app")
+            await old.flush()
+            path = write(tmp_path, two, options="max_payload = 100")
+            text = path.read_text().replace('["app", ""]', '["else"]')
+            path.write_text(text.replace('name = "booking"', 'name = "new"'))
+            it.process.send_signal(signal.SIGHUP)
+            await until(lambda: it.logged("reload failed, the old values stay"))
+            await (await Client.connect(it, user="app")).flush()
+            assert len(one.connects) == 2
+            path.write_text(text)
+            it.process.send_signal(signal.SIGHUP)
+            await until(lambda: it.logged("changed, but takes a restart: nats"))
+            await (await Client.connect(it, user="else")).flush()
+            denied = await Client.connect(it, user="app")
+            assert await denied.line() == b"-ERR 'Authorization Violation'"
+            assert len(one.connects) == 2 and len(two.connects) == 1
+            await old.flush()
+
+    run(test)
+
+
 def test_refusal_deadline_and_no_server_end_in_one_error(tmp_path: Path) -> None:
     async def test() -> None:
         async with NatsServer() as server:
