--- a/tests/test_line.py
+++ b/tests/test_line.py
@@ -258,11 +258,16 @@
     run(test)
 
 
-def test_sigterm_answers_what_still_arrives_and_moves_all_that_stand_late(tmp_path: Path) -> None:
+@pytest.mark.parametrize(("came", "least"), [(b"", 0.9), (b",again=1", 1.2)])
+def test_sigterm_answers_what_still_arrives_and_moves_all_that_stand_late(
+    tmp_path: Path, came: bytes, least: float
+) -> None:
+    """Guards against moving clients while they have nowhere to go: latest where others were just moved here."""
+
     async def test() -> None:
         server = GateServer()
         async with world(tmp_path, server) as (it, _):
-            clients = [await opened(it) for _ in range(20)]
+            clients = [await opened(it, b"c=checkin,t=acme,d=1000" + came) for _ in range(20)]
             assert all([await line(reader) == b"UP r1\r\n" for reader, _ in clients])
             began = asyncio.get_running_loop().time()
             it.process.terminate()
@@ -272,7 +277,7 @@
             # A relay that restarted before this one may not be back: until late, clients are served here.
             ends = [asyncio.ensure_future(r.read(-1)) for r, _ in clients]
             await asyncio.wait(ends, return_when=asyncio.FIRST_COMPLETED)
-            assert asyncio.get_running_loop().time() - began > 0.9
+            assert asyncio.get_running_loop().time() - began > least
             assert await asyncio.gather(*ends) == [b"MOVE\r\n"] * 20
             assert await it.process.wait() == 0
             assert asyncio.get_running_loop().time() - began < 1.9  # deadline 1.2 s and 0.7 s
--- a/violetdoor/fronts/line/front.py
+++ b/violetdoor/fronts/line/front.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 import socket
-from collections import OrderedDict
+from collections import OrderedDict, deque
 
 from lynxdeck import interface as i
 from violetdoor.core import Controller
@@ -25,8 +25,11 @@
 # Parts of that time between which all standing clients are moved. Guards against sending them away while they
 # have nowhere to go: in a rolling restart the relay before this one may still be coming back, and until its
 # MOVE a client is served here.
-MOVE_FROM, MOVED_BY, STEP = 0.6, 0.92, 0.05  # s between steps
+# Later still where another relay's clients have just come here: that one is away, and this one is left alone.
+MOVE_FROM, MOVE_FROM_ALONE, MOVED_BY, STEP = 0.6, 0.75, 0.92, 0.05  # s between steps
+RETURN_WINDOW, RETURN_PART = 2.0, 0.3  # s before SIGTERM in which such a part of the clients here came back
 ADOPT_WITHIN = 60.0  # s from the start in which connections of an earlier run come back
+RETURNS_MOST = 1024
 SEEN_MOST = 4096  # ids of ended connections that are remembered
 LEAVE_RETRY = 300  # ms after which a client may come again that arrives while the program leaves
 
@@ -49,6 +52,7 @@
         longest = max(deadlines.values(), default=0.0) / 1000
         self.leave_within = min(longest, MOST_DEADLINE) + KILL_AFTER - CALM_EXIT
         self.leaving = False
+        self.returns: deque[float] = deque(maxlen=RETURNS_MOST)  # when clients came that were moved or broke
         self.standing: set[Session] = set()
         core.prober = self.probe
 
@@ -120,9 +124,11 @@
         self.leaving = True
         loop = asyncio.get_running_loop()
         began = loop.time()
-        first, last = began + self.leave_within * MOVE_FROM, began + self.leave_within * MOVED_BY
+        here, last = len(self.standing), began + self.leave_within * MOVED_BY
         while loop.time() < began + (self.leave_within if self.acceptor.tasks else STILL_COMING):
-            if loop.time() >= first:
+            lately = sum(at > began - RETURN_WINDOW for at in self.returns)
+            alone = lately > here * RETURN_PART
+            if loop.time() >= began + self.leave_within * (MOVE_FROM_ALONE if alone else MOVE_FROM):
                 tickets = [s.ticket for s in self.standing if s.ticket and not s.ticket.move.done()]
                 for ticket in due(tickets, last - loop.time(), STEP):
                     ticket.move.set_result(None)
--- a/violetdoor/fronts/line/session.py
+++ b/violetdoor/fronts/line/session.py
@@ -70,6 +70,8 @@
             return
         client.consume(length)
         front.counts["opens"] += 1
+        if opening.again:
+            front.returns.append(self.loop.time())
         try:
             await self.opened(opening, arrived)
         finally:
