--- a/tests/test_line.py
+++ b/tests/test_line.py
@@ -262,7 +262,7 @@
 def test_sigterm_answers_what_still_arrives_and_moves_all_that_stand_late(
     tmp_path: Path, came: bytes, least: float
 ) -> None:
-    """Guards against moving clients while they have nowhere to go: latest where others were just moved here."""
+    """Guards against moving clients while they have nowhere to go: later where others just came."""
 
     async def test() -> None:
         server = GateServer()
