--- a/tests/test_line.py
+++ b/tests/test_line.py
@@ -258,15 +258,15 @@
     run(test)
 
 
-@pytest.mark.parametrize(("came", "least"), [(b"", 0.9), (b",again=1", 1.2)])
+@pytest.mark.parametrize(("relays", "came", "least"), [(2, b"", 0.9), (2, b",again=1", 1.2), (1, b"", 1.2)])
 def test_sigterm_answers_what_still_arrives_and_moves_all_that_stand_late(
-    tmp_path: Path, came: bytes, least: float
+    tmp_path: Path, relays: int, came: bytes, least: float
 ) -> None:
     """Guards against moving clients while they have nowhere to go: later where others just came."""
 
     async def test() -> None:
         server = GateServer()
-        async with world(tmp_path, server) as (it, _):
+        async with world(tmp_path, server, balancers=relays) as (it, _):
             clients = [await opened(it, b"c=checkin,t=acme,d=1000" + came) for _ in range(20)]
             assert all([await line(reader) == b"UP r1\r\n" for reader, _ in clients])
             began = asyncio.get_running_loop().time()
--- a/violetdoor/fronts/line/front.py
+++ b/violetdoor/fronts/line/front.py
@@ -127,7 +127,7 @@
         here, last = len(self.standing), began + self.leave_within * MOVED_BY
         while loop.time() < began + (self.leave_within if self.acceptor.tasks else STILL_COMING):
             lately = sum(at > began - RETURN_WINDOW for at in self.returns)
-            alone = lately > here * RETURN_PART
+            alone = self.core.settings.nodes == 1 or lately > here * RETURN_PART
             if loop.time() >= began + self.leave_within * (MOVE_FROM_ALONE if alone else MOVE_FROM):
                 tickets = [s.ticket for s in self.standing if s.ticket and not s.ticket.move.done()]
                 for ticket in due(tickets, last - loop.time(), STEP):
