--- a/lynxdeck/policy.py
+++ b/lynxdeck/policy.py
@@ -35,6 +35,7 @@
 LOOK_EACH = 20  # own connections from which a server is looked at in every interval
 PROBE_SPREAD = 2.0  # times the quickest server's quickest probe that a sound one's may take
 MOVE_ABOVE, MOVE_PAUSE = 0.95, 2_500.0  # load over capacity from which a server sheds; ms until seen
+AVOIDED = 0.2  # part of its turns from which a server counts as avoided: it failed twice of late
 BAD = (i.Result.FULL, i.Result.RESET, i.Result.UNREACHABLE, i.Result.ERROR, i.Result.TIMEOUT)
 
 
@@ -286,6 +287,10 @@
             return self.fleet is None and self.projected(server, 0.0) >= ROOM
         return server.load >= ROOM and not (self.settings.probes and self.now - server.report_at > BARRED)
 
+    def avoided(self) -> set[str]:
+        """The listed servers that get nothing new by this node's own choice, or next to nothing."""
+        return {s.name for s in self.servers.values() if s.ready and (self.full(s) or s.health < AVOIDED)}
+
     def trusted(self, request: Request, server: Server) -> bool:
         """A retry goes elsewhere; a server that failed gets part of its turns."""
         return server not in request.tried and self.random.random() < server.health
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -204,6 +204,7 @@
 
     def __init__(self, process: asyncio.subprocess.Process) -> None:
         self.process, self.address, self.lines = process, ("127.0.0.1", 0), list[str]()
+        self.console = ("127.0.0.1", 0)
         self.reading = asyncio.create_task(self._read())
 
     async def _read(self) -> None:
@@ -212,6 +213,8 @@
             self.lines.append(line)
             if found := re.search(r"listening on ([\d.]+):(\d+)", line):
                 self.address = (found[1], int(found[2]))
+            if found := re.search(r"console on ([\d.]+):(\d+)", line):
+                self.console = (found[1], int(found[2]))
 
     def logged(self, text: str) -> int:
         return sum(text in line for line in self.lines)
@@ -233,6 +236,23 @@
             await self.reading
         return status
 
+    async def call(self, call: str) -> tuple[int, str]:
+        """Call the console; the answer's status and text."""
+        await until(lambda: self.console[1])
+        reader, writer = await asyncio.open_connection(*self.console)
+        writer.write(f"{call} HTTP/1.1\r\nHost: relay\r\n\r\n".encode())
+        async with asyncio.timeout(PATIENCE):
+            head, _, text = (await reader.read(-1)).decode().partition("\r\n\r\n")
+        writer.close()
+        assert "connection: close" in head.lower()
+        return int(head.split()[1]), text
+
+    async def figures(self) -> dict[str, int]:
+        """What the console's figures say."""
+        status, text = await self.call("GET /stats")
+        assert status == 200
+        return {name: int(value) for name, value in re.findall(r"^svc\.([\w.-]+):(\d+)\|[cg]$", text, re.M)}
+
     async def open(self) -> tuple[Reader, Writer]:
         return await asyncio.open_connection(*self.address)
 
--- /dev/null
+++ b/tests/test_console.py
@@ -0,0 +1,113 @@
+"""The console: health, figures and callers that say nothing, of the real program."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from pathlib import Path
+
+from nats import connect
+from standins import PATIENCE, Discovery, GateServer, NatsServer, Relay, relay, run, until
+from test_line import front, line, opened, world
+
+from violetdoor.console.server import CALLERS_MOST
+
+
+def test_figures_count_final_answers_and_attempts_once_by_class(tmp_path: Path) -> None:
+    async def test() -> None:
+        server = GateServer()
+        async with world(tmp_path, server) as (it, discovery):
+            names = {f"{name}.checkin" for name in ("ok", "shed", "errors", "tries")}
+            names |= {"active", "pool_size", "pool_ejected", "config_applied", "config_rejected"}
+            await until(lambda: discovery.calls > 1)
+            first = await it.figures()
+            assert names == first.keys() and first["pool_size"] == 1 and sum(first.values()) == 1
+            reader, writer = await opened(it)
+            assert await line(reader) == b"UP r1\r\n"
+            seen = await it.figures()
+            assert (seen["ok.checkin"], seen["tries.checkin"], seen["active"]) == (1, 1, 1)
+            server.first = b"ERR\r\n"
+            refused, _ = await opened(it, b"c=checkin,t=acme,d=200")
+            assert (await line(refused)).startswith(b"BUSY")
+            writer.close()
+            await until(lambda: server.ended == 2)
+            seen = await it.figures()
+            assert (seen["ok.checkin"], seen["shed.checkin"], seen["errors.checkin"]) == (1, 1, 0)
+            assert seen["tries.checkin"] == len(server.opened) and seen["active"] == 0
+
+    run(test)
+
+
+def test_idle_and_half_calls_keep_no_whole_call_waiting(tmp_path: Path) -> None:
+    """Guards against operators that stay, more of them than there are places."""
+
+    async def test() -> None:
+        async with Discovery() as discovery, front(tmp_path, discovery) as it:
+            await until(lambda: it.console[1])
+            callers = [await asyncio.open_connection(*it.console) for _ in range(2 * CALLERS_MOST)]
+            for n, (_, writer) in enumerate(callers):
+                if n % 2:
+                    writer.write(b"GET /stats HTTP/1.1\r\nHost:")
+            for _ in range(3):
+                async with asyncio.timeout(1.0):
+                    assert (await it.call("GET /healthcheck"))[0] == 200
+            async with asyncio.timeout(PATIENCE):  # all of them are sent away in the end
+                for reader, writer in callers:
+                    with contextlib.suppress(ConnectionError):
+                        await reader.read(-1)
+                    writer.close()
+            assert (await it.counters())["console_evicted"] >= CALLERS_MOST
+
+    run(test)
+
+
+def test_calls_that_do_not_fit_get_a_plain_no(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with Discovery() as discovery, front(tmp_path, discovery) as it:
+            await until(lambda: it.console[1])
+            for call, status in (("GET /nothing", 404), ("PUT /stats", 405), ("WHAT", 400),
+                                 ("GET /" + "x" * 9000, 413)):  # fmt: skip
+                assert (await it.call(call))[0] == status
+
+    run(test)
+
+
+def test_health_is_no_once_the_program_leaves(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with world(tmp_path, GateServer()) as (it, _):
+            reader, _ = await opened(it)
+            assert await line(reader) == b"UP r1\r\n"
+            assert (await it.call("GET /healthcheck"))[0] == 200
+            it.process.terminate()
+            await until(lambda: it.logged("serving -> leaving"))
+            assert (await it.call("GET /healthcheck"))[0] == 503
+
+    run(test)
+
+
+def test_the_nats_front_has_the_same_console(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with NatsServer() as server:
+            path = tmp_path / "nats.toml"
+            path.write_text(
+                'listen = "127.0.0.1:0"\nconsole = "127.0.0.1:0"\n'
+                '[[classes]]\nname = "feed"\naim_ms = 300\ndeadline_ms = 1200\n'
+                '[[tenants]]\nname = "all"\nclass = "feed"\nusers = ["*"]\n'
+                f'[[servers]]\nid = "s1"\naddr = "{server.address}"\n'
+            )
+            async with relay("--config", str(path)) as it:
+                assert (await it.call("GET /healthcheck"))[0] == 200
+                client = await connect("nats://{}:{}".format(*it.address))
+                seen = await figures_with(it, "ok.feed")
+                assert [seen[n] for n in ("ok.feed", "tries.feed", "active", "pool_size")] == [1] * 4
+                await client.close()
+
+    run(test)
+
+
+async def figures_with(it: Relay, name: str) -> dict[str, int]:
+    """The figures once this one has begun to count."""
+    async with asyncio.timeout(PATIENCE):
+        while not (seen := await it.figures())[name]:
+            await asyncio.sleep(0.01)
+    return seen
--- a/tests/test_line.py
+++ b/tests/test_line.py
@@ -41,6 +41,7 @@
     path.write_text(json.dumps({
         "name": "n1", "listen": "127.0.0.1:0", "discovery": discovery.address, "seed": "8c1f30d27a5be964",
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets}, "known": known, "settings": settings,
+        "console": "127.0.0.1:0",
     }))  # fmt: skip
     async with relay(BALANCER_CONFIG=str(path), **env) as it:
         yield it
@@ -292,7 +293,7 @@
     async def test() -> None:
         async with (
             GateServer() as server, Discovery(server) as discovery,
-            front(tmp_path, discovery, sockets=54) as it,  # room for three clients
+            front(tmp_path, discovery, sockets=70) as it,  # room for three clients
         ):  # fmt: skip
             for bad in (b"x" * 9000, b"OPEN a b\r\n", first_line(b"c=none,d=9"), first_line(b"c=checkin")):
                 reader, writer = await it.open()
@@ -346,7 +347,7 @@
     async def test() -> None:
         async with (
             GateServer() as server, Discovery(server) as discovery,
-            front(tmp_path, discovery, sockets=60) as it,  # room for twelve descriptors of clients
+            front(tmp_path, discovery, sockets=76) as it,  # room for twelve descriptors of clients
         ):  # fmt: skip
             silent = [await it.open() for _ in range(100)]
             silent[-1][1].write(b"OPEN half a li")
--- a/violetdoor/config.py
+++ b/violetdoor/config.py
@@ -41,12 +41,13 @@
     deadlines: dict[str, float]
     tells_delay: bool
     tenants: frozenset[str]  # of the line front; none: any
+    console: Address | None = None  # where operators call; none: nowhere
     nats: NatsOptions | None = None  # none: the front is that of the line protocol
 
     def fixed_changes(self, new: Config) -> list[str]:
         """What is different in a newer configuration and takes a restart."""
-        names = ("name", "listen", "settings", "sockets", "connect_timeout", "deadlines", "tells_delay",
-                 "tenants")  # fmt: skip
+        names = ("name", "listen", "console", "settings", "sockets", "connect_timeout", "deadlines",
+                 "tells_delay", "tenants")  # fmt: skip
         changed = [name for name in names if getattr(self, name) != getattr(new, name)]
         if self.nats and new.nats and replace(self.nats, tenants={}) != replace(new.nats, tenants={}):
             changed.append("nats")
@@ -70,6 +71,7 @@
         # echoes tell nothing of it either, unlike the simulator's notes. The time that a probe takes does.
         probes = bool(facts.get("policyLimits", {}).get("probes"))
         told = None if again else os.environ.get("BALANCER_DISCOVERY")
+        console = os.environ.get("BALANCER_CONSOLE") or data.get("console")
         return Config(
             name=os.environ.get("BALANCER_NAME") or data["name"],
             listen=parse_address(os.environ.get("BALANCER_LISTEN") or data["listen"]),
@@ -82,6 +84,7 @@
             deadlines={c["name"]: float(c["hardLimit"]) for c in facts["classes"]},
             tenants=frozenset(str(a["name"]) for a in facts.get("accounts") or ()),
             tells_delay=bool(facts.get("familyInfo", {}).get("tellsDelay")),
+            console=parse_address(console) if console else None,
         )
     except OSError as err:
         raise ConfigError(f"{path}: {err.strerror}") from err
@@ -89,8 +92,8 @@
         raise ConfigError(f"{path}: {type(err).__name__} {err}") from err
 
 
-TOP = {"name", "listen", "discovery", "zone", "relays", "sockets", "attempts", "retry_after_ms", "nats",
-       "classes", "tenants", "servers"}  # fmt: skip
+TOP = {"name", "listen", "console", "discovery", "zone", "relays", "sockets", "attempts", "retry_after_ms",
+       "nats", "classes", "tenants", "servers"}  # fmt: skip
 CLASS = {"name", "worth", "aim_ms", "deadline_ms", "message_aim_ms"}
 TENANT = {"name", "class", "users"}
 SERVER = {"id", "addr", "zone", "kind", "cell", "weight"}
@@ -176,5 +179,6 @@
         deadlines=deadlines,
         tells_delay=True,
         tenants=frozenset(),
+        console=parse_address(data["console"]) if "console" in data else None,
         nats=options,
     )
--- /dev/null
+++ b/violetdoor/console/__init__.py
@@ -0,0 +1,1 @@
+"""Where operators call: health, figures, maintenance."""
--- a/violetdoor/core/controller.py
+++ b/violetdoor/core/controller.py
@@ -185,6 +185,10 @@
         if self.entries.get(entry.server) is drained:
             self.listed(i.ServerList(i.ListKind.CHANGES, (entry,)))
 
+    def avoided(self) -> int:
+        """How many servers of the list get nothing new, by hand or by the module's choice."""
+        return len(self.balancer.avoided() & self.entries.keys())
+
     def any_ready(self) -> bool:
         """Whether the list names any server that takes new work."""
         return any(e.state is i.ServerState.READY for e in self.entries.values())
--- a/violetdoor/fronts/line/front.py
+++ b/violetdoor/fronts/line/front.py
@@ -13,6 +13,7 @@
 from violetdoor.net.acceptor import Acceptor, due
 from violetdoor.net.counters import Counters
 from violetdoor.net.discovery import Directory
+from violetdoor.net.figures import Figures
 from violetdoor.net.sockets import Address, LineSocket, LineTooLongError, connect, send_parts
 
 log = logging.getLogger("violetdoor.line")
@@ -38,10 +39,10 @@
     """The listening socket of the line protocol and the sessions of its clients."""
 
     def __init__(
-        self, address: Address, core: Controller, directory: Directory, counts: Counters,
+        self, address: Address, core: Controller, directory: Directory, counts: Counters, figures: Figures,
         connect_timeout: float, sockets: int, deadlines: dict[str, float], tenants: frozenset[str],
     ) -> None:  # fmt: skip
-        self.core, self.directory, self.counts = core, directory, counts
+        self.core, self.directory, self.counts, self.figures = core, directory, counts, figures
         self.connect_timeout, self.leave_retry, self.idle = connect_timeout, LEAVE_RETRY, 60.0
         busy = b"BUSY %d\r\n" % LEAVE_RETRY
         self.acceptor = Acceptor(address, self.session, counts, sockets, over_limit=busy)
@@ -55,6 +56,7 @@
         self.returns: deque[float] = deque(maxlen=RETURNS_MOST)  # when clients came that were moved or broke
         self.standing: set[Session] = set()
         core.prober = self.probe
+        figures.gauges["active"] = lambda: len(self.open)
 
     def take_id(self, number: int) -> bool:
         """Whether this id is new; it counts as seen from now on.
--- a/violetdoor/fronts/line/session.py
+++ b/violetdoor/fronts/line/session.py
@@ -34,6 +34,7 @@
         self.up: asyncio.Future[None] = self.loop.create_future()  # its server is there
         self.writing = asyncio.Lock()  # held while lines go to the client: MOVE comes between them
         self.answered = False  # the one final answer is given
+        self.cls = ""  # once the first line has told it
         self.farewell = ""  # BYE or MOVE, once the server said it
 
     async def run(self) -> None:
@@ -69,6 +70,7 @@
             await self.answer("failed", b"ERR\r\n")
             return
         client.consume(length)
+        self.cls = opening.cls
         front.counts["opens"] += 1
         if opening.again:
             front.returns.append(self.loop.time())
@@ -148,6 +150,7 @@
         """Give the one final answer."""
         self.answered = True
         self.front.counts[f"answered_{name}"] += 1
+        self.front.figures.count("shed" if name == "busy" else "errors", self.cls)
         await send_parts(self.client.sock, [line])
 
     async def answer_fault(self) -> None:
@@ -198,6 +201,7 @@
                         await send_parts(sock, opening.parts(left))
                     except OSError:
                         return i.Result.UNREACHABLE
+                    self.front.figures.count("tries", opening.cls)
                     length = await link.line()
             except TimeoutError:
                 return i.Result.TIMEOUT
@@ -218,6 +222,7 @@
         """Pass lines both ways until one side ends, the core moves the client, or the server is silent."""
         counts, front = self.front.counts, self.front
         counts["answered_up"] += 1
+        front.figures.count("ok", self.cls)
         self.answered = True
         front.standing.add(self)
         self.up.set_result(None)
--- a/violetdoor/fronts/nats/front.py
+++ b/violetdoor/fronts/nats/front.py
@@ -17,6 +17,7 @@
 from violetdoor.net.acceptor import Acceptor, due
 from violetdoor.net.counters import Counters
 from violetdoor.net.discovery import Directory
+from violetdoor.net.figures import Figures
 from violetdoor.net.sockets import Address, send_parts
 
 PROTOCOL_VERSION = "2.10.0"  # of the server whose protocol this front speaks
@@ -47,15 +48,16 @@
     """The listening socket of the NATS protocol and the sessions of its clients."""
 
     def __init__(
-        self, address: Address, core: Controller, directory: Directory, counts: Counters,
+        self, address: Address, core: Controller, directory: Directory, counts: Counters, figures: Figures,
         options: NatsOptions, deadlines: dict[str, float], sockets: int, name: str,
     ) -> None:  # fmt: skip
-        self.core, self.directory, self.counts = core, directory, counts
+        self.core, self.directory, self.counts, self.figures = core, directory, counts, figures
         self.options, self.deadlines, self.name = options, deadlines, name
         self.tenants = options.tenants  # a reload may change these, nothing else of the options
         self.identity = secrets.token_hex(28).upper()
         self.leaving = False
         self.sessions: set[Session] = set()
+        figures.gauges["active"] = lambda: sum(bool(s.cls) for s in self.sessions)
         self.numbers = itertools.count(1)
         full = self.info(0) + error("maximum connections exceeded")
         self.acceptor = Acceptor(address, self.session, counts, sockets, over_limit=full)
--- a/violetdoor/fronts/nats/link.py
+++ b/violetdoor/fronts/nats/link.py
@@ -46,6 +46,7 @@
         self.pings: deque[Ping] = deque()
         self.info: dict[str, Any] = {}
         self.denied = ""
+        self.presented = False  # the client's CONNECT is on its way
 
     def ping(self, mark: int, of_client: bool = False, fence: asyncio.Future[None] | None = None) -> None:
         """Send a PING that confirms what went before it."""
@@ -62,16 +63,15 @@
     async def greet(self, connect: bytes) -> i.Result:
         """Present the client; up once the server has answered a PING."""
         try:
-            greeted = False
             while (frame := await self.reader.frame()) is not None:
                 match frame.op:
                     case "INFO":
                         self.read_info(frame.args[0])
                         if self.info.get("tls_required") or self.info.get("ldm"):
                             return i.Result.FULL  # nothing was sent to it
-                        if not greeted:
+                        if not self.presented:
                             self.out.put(connect + b"PING\r\n")
-                            greeted = True
+                            self.presented = True
                     case "PING":
                         self.out.put(b"PONG\r\n")
                     case "PONG":
--- a/violetdoor/fronts/nats/session.py
+++ b/violetdoor/fronts/nats/session.py
@@ -141,6 +141,7 @@
                     return None, self.gone.result()
                 case i.Fail() | i.Refuse():
                     self.counts["nats_refused"] += 1
+                    self.front.figures.count("shed" if isinstance(choice, i.Refuse) else "errors", self.cls)
                     if not self.core.any_ready():
                         return None, "No Servers Available"
                     late = timed_out or self.core.now() > ticket.deadline - NEARLY
@@ -150,6 +151,7 @@
                     self.counts[f"nats_attempt_{result.value}"] += 1
                     if link is not None:
                         self.counts["nats_placed"] += 1
+                        self.front.figures.count("ok", self.cls)
                         ticket.established()
                         return link, ""
                     timed_out = result is i.Result.TIMEOUT
@@ -185,6 +187,8 @@
         except TimeoutError:
             return None, i.Result.TIMEOUT
         finally:
+            if link.presented:
+                self.front.figures.count("tries", self.cls)
             if not up:
                 await link.close()
 
--- a/violetdoor/net/acceptor.py
+++ b/violetdoor/net/acceptor.py
@@ -19,7 +19,7 @@
 LINGER, LINGER_MOST = 0.3, 1 << 17  # s, and bytes thrown away, that a client has to read its last line
 PATIENCE = 0.25  # s that a client may wait in any case while there are descriptors
 WAITING_PART = 3  # at most one in so many descriptors is held by clients that were not admitted
-RESERVED = 48  # descriptors kept for discovery, probes, the log and answers to clients over the limit
+RESERVED = 64  # descriptors kept for discovery, probes, the log, the console and answers over the limit
 
 
 T = TypeVar("T")
@@ -66,10 +66,12 @@
         self.waiting: dict[asyncio.Task[None], float] = {}
         self.admitted: set[asyncio.Task[None]] = set()
         self.evicted: set[asyncio.Task[None]] = set()
+        self.accepting = False  # clients that come now are taken in
 
     async def run(self) -> None:
         """Take in clients for ever."""
         loop = asyncio.get_running_loop()
+        self.accepting = True
         while True:
             try:
                 sock, _ = await loop.sock_accept(self.sock)
@@ -78,8 +80,10 @@
                 # listening for good because descriptors were short for a moment.
                 self.counts["accept_failed"] += 1
                 log.warning("accept failed: %s", err)
+                self.accepting = False
                 await asyncio.sleep(ACCEPT_PAUSE)
                 continue
+            self.accepting = True
             self.counts["accepted"] += 1
             task = loop.create_task(self._connection(sock))
             self.tasks.add(task)
@@ -161,6 +165,7 @@
 
     async def close(self) -> None:
         """Stop listening, end what is still served."""
+        self.accepting = False
         self.sock.close()
         for task in list(self.tasks):
             task.cancel()
--- a/violetdoor/program.py
+++ b/violetdoor/program.py
@@ -11,11 +11,14 @@
 
 from lynxdeck import interface as i
 from violetdoor.config import Config, ConfigError
+from violetdoor.console.calls import Calls
+from violetdoor.console.server import Console
 from violetdoor.core import Controller
 from violetdoor.fronts.line.front import LineFront
 from violetdoor.fronts.nats.front import NatsFront
 from violetdoor.net.counters import Counters
 from violetdoor.net.discovery import Directory, Watch
+from violetdoor.net.figures import Figures
 from violetdoor.net.logs import Limit
 
 log = logging.getLogger("violetdoor")
@@ -43,7 +46,7 @@
     def __init__(self, config: Config, reread: Callable[[], Config], limit: Limit) -> None:
         self.limit = limit
         self.config, self.reread, self.counts, self.phase = config, reread, Counters(), Phase.STARTING
-        self.directory = Directory()
+        self.directory, self.figures = Directory(), Figures(config.deadlines)
         self.stop = asyncio.Event()
         self.watch: Watch | None = None
 
@@ -71,9 +74,11 @@
                 raise ConfigError("a new class takes a restart")
         except ConfigError as err:
             self.counts["reload_failed"] += 1
+            self.figures.counts["config_rejected"] += 1
             log.error("reload failed, the old values stay: %s", err)
             return
         self.counts["reloads"] += 1
+        self.figures.counts["config_applied"] += 1
         if isinstance(front, NatsFront) and new.nats is not None:
             front.tenants = new.nats.tenants
         where = "the listed servers"
@@ -90,13 +95,23 @@
         c = self.config
         if c.nats is None:
             return LineFront(
-                c.listen, core, self.directory, self.counts, c.connect_timeout, c.sockets, c.deadlines,
-                c.tenants,
+                c.listen, core, self.directory, self.counts, self.figures, c.connect_timeout, c.sockets,
+                c.deadlines, c.tenants,
             )  # fmt: skip
         return NatsFront(
-            c.listen, core, self.directory, self.counts, c.nats, c.deadlines, c.sockets, c.name
+            c.listen, core, self.directory, self.counts, self.figures, c.nats, c.deadlines, c.sockets, c.name
         )
 
+    def console(self, front: LineFront | NatsFront) -> Console | None:
+        """Where operators call, if the configuration names a place."""
+        if self.config.console is None:
+            return None
+
+        def healthy() -> bool:
+            return self.phase is Phase.SERVING and front.acceptor.accepting
+
+        return Console(self.config.console, Calls(healthy, self.figures), self.counts)
+
     async def run(self) -> None:
         """Start, serve until SIGTERM, leave, stop."""
         config, loop = self.config, asyncio.get_running_loop()
@@ -111,11 +126,17 @@
         known = i.ListKind.COMPLETE if watch is None else i.ListKind.REMEMBERED
         core.listed(self.directory.read(config.known, known))
         front = self.front(core)
+        self.figures.gauges["pool_size"] = lambda: len(core.entries)
+        self.figures.gauges["pool_ejected"] = core.avoided
+        console = self.console(front)
         loop.add_signal_handler(signal.SIGHUP, self.reload, core, front)
         signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
         serving, stopping = loop.create_task(front.run()), loop.create_task(self.stop.wait())
+        calling = loop.create_task(console.run()) if console else None
         self.enter(Phase.SERVING)
         log.info("listening on %s:%d", *front.acceptor.address)
+        if console is not None:
+            log.info("console on %s:%d", *console.address)
         await asyncio.wait((serving, stopping), return_when=asyncio.FIRST_COMPLETED)
         if serving.done():
             serving.result()
@@ -125,5 +146,8 @@
         await asyncio.gather(serving, return_exceptions=True)
         if watch is not None:
             await watch.stop()
+        if console is not None and calling is not None:
+            calling.cancel()
+            await console.close()
         self.enter(Phase.STOPPED)
         self.report()
