--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -8,7 +8,7 @@
 
 from nats import connect
 from standins import PATIENCE, Discovery, GateServer, NatsServer, Relay, relay, run, until
-from test_line import front, line, opened, world
+from test_line import front, line, opened, settled, world
 
 from violetdoor.console.server import CALLERS_MOST
 
@@ -111,3 +111,50 @@
         while not (seen := await it.figures())[name]:
             await asyncio.sleep(0.01)
     return seen
+
+
+def test_a_ban_holds_over_whatever_the_list_says_and_a_return_is_cold_and_used(tmp_path: Path) -> None:
+    async def test() -> None:
+        servers = GateServer(), GateServer()
+        async with world(tmp_path, *servers) as (it, discovery):
+            clients = [await opened(it) for _ in range(6)]
+            assert [await line(reader) for reader, _ in clients] == [b"UP r1\r\n"] * 6
+            away = max(servers, key=lambda s: len(s.opened))  # the group's home
+            stood, name = len(away.opened), f"s-{away.address}"
+            assert stood
+            assert (await it.call("PUT /gate-servers/s-nobody/maint"))[0] == 404
+            assert (await it.call("PUT /gate-servers/s-nobody/ready"))[0] == 404
+            for _ in range(2):
+                assert (await it.call(f"PUT /gate-servers/{name}/maint"))[0] == 200
+            assert (await it.figures())["pool_ejected"] == 1
+            await until(lambda: away.ended == stood)  # those that stood there were moved
+            for state in ("removed", "up"):
+                changes = await settled(it, "discovery_changes")
+                discovery.tell(away, state)
+                while await settled(it, "discovery_changes") == changes:
+                    await asyncio.sleep(0.01)
+                reader, _ = await opened(it)
+                assert await line(reader) == b"UP r1\r\n"
+            assert len(away.opened) == stood
+            assert (await it.call(f"PUT /gate-servers/{name}/ready"))[0] == 200
+            assert (await it.figures())["pool_ejected"] == 0
+            async with asyncio.timeout(5):
+                while len(away.opened) == stood:
+                    reader, writer = await opened(it)
+                    assert await line(reader) == b"UP r1\r\n"
+                    writer.close()
+
+    run(test)
+
+
+def test_bans_are_kept_for_the_process_that_takes_over(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with GateServer() as server, Discovery(server) as discovery:
+            async with front(tmp_path, discovery, TMPDIR=str(tmp_path)) as it:
+                assert (await it.call(f"PUT /gate-servers/s-{server.address}/maint"))[0] == 200
+            async with front(tmp_path, discovery, TMPDIR=str(tmp_path)) as it:
+                reader, _ = await opened(it, b"c=checkin,t=acme,d=200")
+                assert (await line(reader)).startswith(b"BUSY") and not server.opened
+                assert (await it.figures())["pool_ejected"] == 1
+
+    run(test)
--- a/violetdoor/console/calls.py
+++ b/violetdoor/console/calls.py
@@ -2,18 +2,23 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Callable
 from http import HTTPStatus
+from urllib.parse import unquote
 
 from violetdoor.console.server import Answer
+from violetdoor.maintenance import Maintenance
 from violetdoor.net.figures import Figures
 
+log = logging.getLogger("violetdoor.console")
+
 
 class Calls:
     """Answers a call by its method and path."""
 
-    def __init__(self, healthy: Callable[[], bool], figures: Figures) -> None:
-        self.healthy, self.figures = healthy, figures
+    def __init__(self, healthy: Callable[[], bool], figures: Figures, maintenance: Maintenance) -> None:
+        self.healthy, self.figures, self.maintenance = healthy, figures, maintenance
 
     def __call__(self, method: str, path: str) -> Answer:
         """Carry out one call."""
@@ -24,6 +29,13 @@
                 return HTTPStatus.SERVICE_UNAVAILABLE, "takes no clients\n"
             case "GET", ["stats"]:
                 return HTTPStatus.OK, self.figures.text()
-            case _, ["healthcheck" | "stats"]:
+            case "PUT", ["gate-servers", server, "maint" | "ready" as what]:
+                out, server = what == "maint", unquote(server)
+                known = self.maintenance.leave_out(server) if out else self.maintenance.put_back(server)
+                if not known:
+                    return HTTPStatus.NOT_FOUND, "no list has named this server\n"
+                log.info("server %s is %s by hand", server, "left out" if out else "put back")
+                return HTTPStatus.OK, "left out\n" if out else "put back\n"
+            case _, ["healthcheck" | "stats"] | ["gate-servers", _, "maint" | "ready"]:
                 return HTTPStatus.METHOD_NOT_ALLOWED, "another method is wanted\n"
         return HTTPStatus.NOT_FOUND, "no such call\n"
--- a/violetdoor/core/controller.py
+++ b/violetdoor/core/controller.py
@@ -16,6 +16,7 @@
 from lynxdeck import interface as i
 from lynxdeck.policy import Balancer
 from violetdoor.core.delays import WINDOW, Delays, carrier
+from violetdoor.core.spread import due
 
 log = logging.getLogger("violetdoor.core")
 
@@ -23,6 +24,7 @@
 SERVER_SILENT = 1_500.0  # ms without an answer on any connection after which a server counts as silent
 CONNECTION_SILENT = 3_500.0  # ms without an answer on one connection after which that counts as silent
 UNANSWERED_MOST = 64  # messages of one connection whose answers are timed
+EMPTY_WITHIN, EMPTY_STEP = 1_200.0, 50.0  # ms in which a banned server's clients are moved: it restarts soon after
 DRAIN_BELIEVED = 30.0  # s after which a server that said it drains may be asked again, if the list has it
 
 Prober = Callable[[str], Awaitable[i.Probed]]
@@ -143,7 +145,10 @@
         self.balancer = Balancer(settings, seed, clock())
         self.tickets: dict[int, Ticket] = {}
         self.standing: dict[str, dict[int, Ticket]] = {}  # by server
-        self.entries: dict[str, i.ServerEntry] = {}
+        self.entries: dict[str, i.ServerEntry] = {}  # as the list has them; bans are laid over
+        self.named: set[str] = set()  # all servers that a list has ever named
+        self.bans: dict[str, float] = {}  # servers that are left out by hand, since when
+        self.returned: dict[str, tuple[float, float]] = {}  # those put back: banned at, put back at
         self.follow: Callable[[], None] = lambda: None
         self.prober: Prober | None = None
         self.faults = 0
@@ -165,12 +170,57 @@
                 self.entries.pop(entry.server, None)
             else:
                 self.entries[entry.server] = entry
-        self.handle(servers)
+                self.named.add(entry.server)
+        self.handle(replace(servers, entries=tuple(map(self._laid_over, servers.entries))))
+
+    def _laid_over(self, entry: i.ServerEntry) -> i.ServerEntry:
+        """What the module is told of a server: by hand it can be left out, and come back cold.
+
+        Guards against a list that lifts a ban, or that has not heard yet of the restart that a ban was for.
+        """
+        banned, back = self.returned.get(entry.server, (0.0, 0.0))
+        if back and entry.started < banned:
+            entry = replace(entry, started=back)
+        if entry.server in self.bans and entry.state is i.ServerState.READY:
+            entry = replace(entry, state=i.ServerState.DRAINING)
+        return entry
+
+    def _tell_again(self, server: str) -> None:
+        if entry := self.entries.get(server):
+            self.handle(i.ServerList(i.ListKind.CHANGES, (self._laid_over(entry),)))
+
+    def ban(self, server: str, since: float) -> bool:
+        """Leave a server out by hand from now on and move its clients; False for one never listed."""
+        if server not in self.named:
+            return False
+        if server not in self.bans:
+            self.bans[server] = since
+            self._tell_again(server)
+            self._empty(server, self.now() + EMPTY_WITHIN)
+        return True
+
+    def lift(self, server: str) -> bool:
+        """Put a server back: cold, with nothing remembered of it; False for one never listed."""
+        if server not in self.named:
+            return False
+        if banned := self.bans.pop(server, None):
+            self.returned[server] = (banned, self.now())
+            self._tell_again(server)
+        return True
+
+    def _empty(self, server: str, until: float) -> None:
+        """Move the clients of a banned server one after another; those that come up there later at once."""
+        if server not in self.bans:
+            return
+        waiting = [t for t in self.standing.get(server, {}).values() if not t.move.done()]
+        for ticket in due(waiting, until - self.now(), EMPTY_STEP):
+            ticket.move.set_result(None)
+        self.loop.call_later(EMPTY_STEP / 1000, self._empty, server, until)
 
     def may_send(self, server: str) -> bool:
         """Whether new work may go there now; ask again just before the first byte."""
         entry = self.entries.get(server)
-        return entry is not None and entry.state is i.ServerState.READY
+        return server not in self.bans and entry is not None and entry.state is i.ServerState.READY
 
     def drains(self, server: str) -> None:
         """A server said itself that it drains: as if the list had told, until the list or time says more."""
@@ -187,11 +237,11 @@
 
     def avoided(self) -> int:
         """How many servers of the list get nothing new, by hand or by the module's choice."""
-        return len(self.balancer.avoided() & self.entries.keys())
+        return len((self.balancer.avoided() | self.bans.keys()) & self.entries.keys())
 
     def any_ready(self) -> bool:
         """Whether the list names any server that takes new work."""
-        return any(e.state is i.ServerState.READY for e in self.entries.values())
+        return any(map(self.may_send, self.entries))
 
     def arrive(
         self, cls: str, time_left: float, tenant: str, key: int | None, load: float | None,
--- a/violetdoor/fronts/line/front.py
+++ b/violetdoor/fronts/line/front.py
@@ -9,8 +9,9 @@
 
 from lynxdeck import interface as i
 from violetdoor.core import Controller
+from violetdoor.core.spread import due
 from violetdoor.fronts.line.session import Session
-from violetdoor.net.acceptor import Acceptor, due
+from violetdoor.net.acceptor import Acceptor
 from violetdoor.net.counters import Counters
 from violetdoor.net.discovery import Directory
 from violetdoor.net.figures import Figures
--- a/violetdoor/fronts/nats/front.py
+++ b/violetdoor/fronts/nats/front.py
@@ -12,9 +12,10 @@
 import orjson
 
 from violetdoor.core import Controller
+from violetdoor.core.spread import due
 from violetdoor.fronts.nats.frames import error
 from violetdoor.fronts.nats.session import Session
-from violetdoor.net.acceptor import Acceptor, due
+from violetdoor.net.acceptor import Acceptor
 from violetdoor.net.counters import Counters
 from violetdoor.net.discovery import Directory
 from violetdoor.net.figures import Figures
--- /dev/null
+++ b/violetdoor/maintenance.py
@@ -0,0 +1,55 @@
+"""Servers that operators leave out by hand: in force in the core, kept for the process that takes over."""
+
+from __future__ import annotations
+
+import logging
+import os
+from pathlib import Path
+
+import orjson
+
+from violetdoor.core import Controller
+
+log = logging.getLogger("violetdoor.maintenance")
+
+
+class Maintenance:
+    """Carries the operators' bans out and keeps them in a file that an upgrade's other process reads."""
+
+    def __init__(self, core: Controller, path: Path | None) -> None:
+        self.core, self.path = core, path
+
+    def restore(self) -> None:
+        """Lay the kept bans over the list; a file that does not read is left alone and told of."""
+        if self.path is None or not self.path.exists():
+            return
+        try:
+            self.core.bans.update({str(k): float(v) for k, v in orjson.loads(self.path.read_bytes()).items()})
+        except (OSError, ValueError, TypeError, AttributeError) as err:
+            log.error("the kept bans do not read: %s", err)
+        self.core.named.update(self.core.bans)
+
+    def leave_out(self, server: str) -> bool:
+        """Send nothing new to this server; False for one that no list has named."""
+        if not self.core.ban(server, self.core.now()):
+            return False
+        self._keep()
+        return True
+
+    def put_back(self, server: str) -> bool:
+        """Use it again; False for one that no list has named."""
+        if not self.core.lift(server):
+            return False
+        self._keep()
+        return True
+
+    def _keep(self) -> None:
+        """Write the bans beside the file and rename: a reader sees the old ones or the new ones, whole."""
+        if self.path is None:
+            return
+        try:
+            beside = self.path.with_suffix(".new")
+            beside.write_bytes(orjson.dumps(self.core.bans))
+            os.replace(beside, self.path)
+        except OSError as err:  # in force all the same
+            log.error("bans can't be kept: %s", err)
--- a/violetdoor/net/acceptor.py
+++ b/violetdoor/net/acceptor.py
@@ -5,10 +5,8 @@
 import asyncio
 import contextlib
 import logging
-import random
 import socket
-from collections.abc import Awaitable, Callable, Sequence
-from typing import TypeVar
+from collections.abc import Awaitable, Callable
 
 from violetdoor.net.counters import Counters
 from violetdoor.net.sockets import Address, end, listen
@@ -22,16 +20,6 @@
 RESERVED = 64  # descriptors kept for discovery, probes, the log, the console and answers over the limit
 
 
-T = TypeVar("T")
-
-
-def due(waiting: Sequence[T], left: float, step: float) -> list[T]:
-    """Which of these to send away in this step if all are to be gone in so many seconds, evenly."""
-    share = len(waiting) / max(1.0, left / step)
-    count = int(share) + (random.random() < share % 1)
-    return random.sample(waiting, min(len(waiting), count))
-
-
 async def linger(sock: socket.socket) -> None:
     """End the sending side and wait a little for the client's end.
 
--- a/violetdoor/program.py
+++ b/violetdoor/program.py
@@ -4,10 +4,12 @@
 
 import asyncio
 import logging
+import os
 import signal
 import time
 from collections.abc import Callable
 from enum import Enum
+from pathlib import Path
 
 from lynxdeck import interface as i
 from violetdoor.config import Config, ConfigError
@@ -16,6 +18,7 @@
 from violetdoor.core import Controller
 from violetdoor.fronts.line.front import LineFront
 from violetdoor.fronts.nats.front import NatsFront
+from violetdoor.maintenance import Maintenance
 from violetdoor.net.counters import Counters
 from violetdoor.net.discovery import Directory, Watch
 from violetdoor.net.figures import Figures
@@ -102,7 +105,7 @@
             c.listen, core, self.directory, self.counts, self.figures, c.nats, c.deadlines, c.sockets, c.name
         )
 
-    def console(self, front: LineFront | NatsFront) -> Console | None:
+    def console(self, front: LineFront | NatsFront, maintenance: Maintenance) -> Console | None:
         """Where operators call, if the configuration names a place."""
         if self.config.console is None:
             return None
@@ -110,7 +113,7 @@
         def healthy() -> bool:
             return self.phase is Phase.SERVING and front.acceptor.accepting
 
-        return Console(self.config.console, Calls(healthy, self.figures), self.counts)
+        return Console(self.config.console, Calls(healthy, self.figures, maintenance), self.counts)
 
     async def run(self) -> None:
         """Start, serve until SIGTERM, leave, stop."""
@@ -119,6 +122,9 @@
             loop.add_signal_handler(number, self.stop.set)
         loop.add_signal_handler(signal.SIGUSR1, self.report)
         core = Controller(config.settings, config.seed, unix_clock, config.tells_delay)
+        shared = os.environ.get("TMPDIR")  # an upgrade's two processes share it, and nothing else does
+        maintenance = Maintenance(core, Path(shared, f"violetdoor-{config.name}.bans") if shared else None)
+        maintenance.restore()
         watch = None
         if config.discovery is not None:
             watch = self.watch = Watch(config.discovery, self.directory, core.listed, self.counts)
@@ -128,7 +134,7 @@
         front = self.front(core)
         self.figures.gauges["pool_size"] = lambda: len(core.entries)
         self.figures.gauges["pool_ejected"] = core.avoided
-        console = self.console(front)
+        console = self.console(front, maintenance)
         loop.add_signal_handler(signal.SIGHUP, self.reload, core, front)
         signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
         serving, stopping = loop.create_task(front.run()), loop.create_task(self.stop.wait())
