--- a/violetdoor/core/controller.py
+++ b/violetdoor/core/controller.py
@@ -24,7 +24,7 @@
 SERVER_SILENT = 1_500.0  # ms without an answer on any connection after which a server counts as silent
 CONNECTION_SILENT = 3_500.0  # ms without an answer on one connection after which that counts as silent
 UNANSWERED_MOST = 64  # messages of one connection whose answers are timed
-EMPTY_WITHIN, EMPTY_STEP = 1_200.0, 50.0  # ms to move the clients of a banned server in: it restarts soon; a step
+EMPTY_WITHIN, EMPTY_STEP = 1_200.0, 50.0  # ms to move the clients of a banned server in; a step
 DRAIN_BELIEVED = 30.0  # s after which a server that said it drains may be asked again, if the list has it
 
 Prober = Callable[[str], Awaitable[i.Probed]]
