--- a/lynxdeck/interface.py
+++ b/lynxdeck/interface.py
@@ -214,6 +214,38 @@
     report: Mapping[str, float] = field(default_factory=dict)
 
 
+@dataclass(slots=True, frozen=True)
+class ServerKnown:
+    """What a node knows of one server beyond the list."""
+
+    server: str
+    started: float
+    load: float | None
+    report_at: float | None
+    health: float
+    setup: float | None
+    quick: float | None
+
+
+@dataclass(slots=True, frozen=True)
+class Knowledge:
+    """All that a node has learned; as an event: what the process before this one had."""
+
+    fleet: float | None
+    unit: float | None
+    quickest: float | None
+    late: float
+    servers: tuple[ServerKnown, ...] = ()
+    listed: ServerList = field(default_factory=lambda: ServerList(ListKind.REMEMBERED))
+
+
+@dataclass(slots=True, frozen=True)
+class Beside:
+    """Load and number of the connections that another process of this node still holds, by server."""
+
+    held: Mapping[str, tuple[float, int]]
+
+
 @dataclass(slots=True, frozen=True)
 class PeerMessage:
     """Bytes from another node."""
@@ -232,6 +264,8 @@
     | Abandoned
     | TimerFired
     | Probed
+    | Knowledge
+    | Beside
     | PeerMessage
 )
 
--- a/lynxdeck/policy.py
+++ b/lynxdeck/policy.py
@@ -90,6 +90,7 @@
             i.ServerList: self.list_changed, i.Arrival: self.arrive, i.Adopted: self.adopted,
             i.Established: self.established, i.Note: self.note, i.Outcome: self.ended, i.Probed: self.probed,
             i.Abandoned: self.abandoned, i.TimerFired: self.timer_fired, i.PeerMessage: lambda _: None,
+            i.Knowledge: self.learn, i.Beside: self.beside,
         }  # fmt: skip
 
     def handle(self, now: float, event: i.Event) -> list[i.Action]:
@@ -138,6 +139,29 @@
             if server.entry.state is i.ServerState.GONE or name not in listed:
                 self.servers.pop(name).ready = False
 
+    # One node, two processes: the new one starts from what the old one knows and holds.
+
+    def knowledge(self) -> i.Knowledge:
+        rows = [
+            i.ServerKnown(s.name, s.entry.started, s.load, s.report_at, s.health, s.setup, s.quick)
+            for s in self.servers.values()
+        ]
+        return i.Knowledge(self.fleet, self.unit, self.quickest, self.late, tuple(rows))
+
+    def learn(self, event: i.Knowledge) -> None:
+        """Take over; first what a unit holds, without which cold servers would get no turn."""
+        self.fleet, self.late = event.fleet, event.late
+        self.unit, self.quickest = event.unit or math.inf, event.quickest or math.inf
+        self.list_changed(event.listed)
+        for row in event.servers:
+            if (server := self.servers.get(row.server)) and server.entry.started == row.started:
+                server.load, server.health, server.setup = row.load, row.health, row.setup
+                server.quick, server.report_at = row.quick or math.inf, row.report_at or -math.inf
+
+    def beside(self, event: i.Beside) -> None:
+        for server in self.servers.values():
+            server.beside = event.held.get(server.name, (0.0, 0))
+
     # Forecast, budget and limit, once an interval.
 
     def tick(self) -> None:
@@ -147,7 +171,8 @@
         late = sum(s.load is not None for s in self.servers.values()) / max(1, len(self.servers))
         if self.settings.probe_times:  # they tell early, and one server's trouble leaves room at the others
             late **= 2
-        fleet, load = self.fleet or TYPICAL + (OVERLOAD - TYPICAL) * late, self.held()
+        fleet = self.fleet or TYPICAL + (OVERLOAD - TYPICAL) * late
+        load = self.held() + sum(s.beside[0] for s in self.servers.values())
         if load > 0:
             unit = load * self.settings.nodes / (fleet * self.weight)
             old = unit if self.fleet is None or self.unit == math.inf else self.unit
@@ -324,7 +349,8 @@
         unit = min(self.unit, 1e9) * server.entry.weight
         known = self.fleet if server.load is None else server.load
         if known is None:
-            own = sum(r.load for r in server.open.values()) * (1 - (1 + len(server.open)) ** -0.5)
+            own = sum(r.load for r in server.open.values()) + server.beside[0]
+            own *= 1 - (1 + len(server.open) + server.beside[1]) ** -0.5
             known = own * self.settings.nodes / unit  # as much as so few connections make sure
         return known + min(OWN_MOST, load / unit)
 
--- a/lynxdeck/records.py
+++ b/lynxdeck/records.py
@@ -46,6 +46,7 @@
     moved_at: float = -math.inf
     in_order: bool = False  # has a place in the turn order
     probing: bool = False
+    beside: tuple[float, int] = (0.0, 0)  # load, connections of another process of this node
     open: dict[int, Request] = field(default_factory=dict)
     waiting: list[Request] = field(default_factory=list)  # placements that wait for its probe
 
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -205,6 +205,7 @@
     def __init__(self, process: asyncio.subprocess.Process) -> None:
         self.process, self.address, self.lines = process, ("127.0.0.1", 0), list[str]()
         self.console = ("127.0.0.1", 0)
+        self.killed = False  # by the test
         self.reading = asyncio.create_task(self._read())
 
     async def _read(self) -> None:
@@ -270,7 +271,7 @@
         yield it
     finally:
         status = await it.stop()
-    assert status == 0, it.lines
+    assert status == (-signal.SIGKILL if it.killed else 0), it.lines
     assert not it.logged("Traceback"), "".join(it.lines)
 
 
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,112 @@
+"""Two processes of one relay: the second takes over from the first while clients stand and come."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+from standins import Discovery, GateServer, Relay, relay, run, until
+from test_line import first_line, front, line, opened, settled
+
+HELD = b"c=checkin,t=acme,d=1000"
+
+
+@contextlib.asynccontextmanager
+async def beside(tmp_path: Path) -> AsyncIterator[Relay]:
+    """A further process of the relay, whose configuration is broken by now."""
+    path = tmp_path / "config.json"
+    whole = path.read_text()
+    path.write_text(whole[: len(whole) // 2])
+    own = {"BALANCER_NAME": "n1", "BALANCER_LISTEN": "127.0.0.1:0", "BALANCER_CONSOLE": "127.0.0.1:0"}
+    async with relay(BALANCER_CONFIG=str(path), TMPDIR=str(tmp_path), **own) as it:
+        yield it
+    path.write_text(whole)
+
+
+def test_the_new_process_goes_on_where_the_old_one_is_and_the_old_one_leaves(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with (
+            GateServer() as out, GateServer() as server, Discovery(out, server) as discovery,
+            front(tmp_path, discovery, TMPDIR=str(tmp_path)) as old,
+        ):  # fmt: skip
+            assert (await old.call(f"PUT /gate-servers/s-{out.address}/maint"))[0] == 200
+            reader, writer = await old.open()
+            taken = first_line(HELD)
+            writer.write(taken)
+            assert await line(reader) == b"UP r1\r\n"
+            half, half_writer = await old.open()
+            half_writer.write(b"OPEN ")
+            async with beside(tmp_path) as new:
+                assert (await new.call("GET /healthcheck"))[0] == 200
+                assert new.address == old.address
+                assert (await old.call("GET /healthcheck"))[0] == 503
+                later = [await opened(new, HELD) for _ in range(5)]
+                assert [await line(r) for r, _ in later] == [b"UP r1\r\n"] * 5
+                assert (await new.figures())["active"] == 5 and not out.opened
+                thief, thief_writer = await new.open()
+                thief_writer.write(taken)
+                assert await line(thief) == b"ERR\r\n"
+                # A ban lifted at either process is lifted at both, and so is one set.
+                assert (await new.call(f"PUT /gate-servers/s-{out.address}/ready"))[0] == 200
+                assert (await old.call(f"PUT /gate-servers/s-{server.address}/maint"))[0] == 200
+                await until(lambda: new.logged("console on"))
+                while (await new.figures())["pool_ejected"] != 1:
+                    pass
+                await until(lambda: server.ended == 6)  # moved at both
+                assert await line(reader) == b"MOVE\r\n"
+                # One that the old process took in has no BUSY from it, though it leaves.
+                old.process.terminate()
+                await until(lambda: old.logged("serving -> leaving"))
+                half_writer.write(first_line(HELD)[5:])
+                assert await line(half) in (b"UP r1\r\n", b"MOVE\r\n")
+                assert await old.process.wait() == 0
+                reader, _ = await opened(new, HELD)
+                assert await line(reader) == b"UP r1\r\n"
+
+    run(test)
+
+
+def test_the_old_process_goes_on_if_the_new_one_dies(tmp_path: Path) -> None:
+    """Also the next one finds it, though the name where they meet led to the dead one."""
+
+    async def test() -> None:
+        async with (
+            GateServer() as server, Discovery(server) as discovery,
+            front(tmp_path, discovery, TMPDIR=str(tmp_path)) as old,
+        ):  # fmt: skip
+            for times in (1, 2):
+                async with beside(tmp_path) as new:
+                    assert (await new.call("GET /healthcheck"))[0] == 200
+                    new.killed = True
+                    new.process.kill()
+                    await new.process.wait()
+                await until(lambda: old.logged("this one accepts again") == times)  # noqa: B023
+                reader, _ = await opened(old, HELD)
+                assert await line(reader) == b"UP r1\r\n"
+                assert (await old.call("GET /healthcheck"))[0] == 200
+            assert await settled(old, "accepted") == 2
+
+    run(test)
+
+
+def test_a_stale_meeting_place_and_a_predecessor_that_hangs_keep_nobody_from_starting(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with GateServer() as server, Discovery(server) as discovery:
+            place = str(tmp_path / "violetdoor-127.0.0.1:0.sock")
+            for hangs in (False, True):
+                meeting = socket.socket(socket.AF_UNIX)
+                meeting.bind(place)
+                if hangs:
+                    meeting.listen()
+                else:
+                    meeting.close()
+                async with front(tmp_path, discovery, TMPDIR=str(tmp_path)) as it:
+                    assert it.logged("no predecessor answers")
+                    reader, _ = await opened(it, HELD)
+                    assert await line(reader) == b"UP r1\r\n"
+                meeting.close()
+                Path(place).unlink()
+
+    run(test)
--- a/violetdoor/__main__.py
+++ b/violetdoor/__main__.py
@@ -10,14 +10,17 @@
 
 import uvloop
 
-from violetdoor.config import Config, ConfigError, from_operator, from_platform
+from violetdoor.config import Config, ConfigError, from_operator, from_platform, listen_text
+from violetdoor.handover import Inherited, inherit, place
 from violetdoor.net.logs import Limit
 from violetdoor.program import Program
 
 
-async def serve(config: Config, reread: Callable[[], Config], limit: Limit) -> None:
+async def serve(
+    config: Config, reread: Callable[[], Config], limit: Limit, meet: Path | None, inherited: Inherited | None
+) -> None:
     """Run one relay from start to exit."""
-    await Program(config, reread, limit).run()
+    await Program(config, reread, limit, meet, inherited).run()
 
 
 def main() -> int:
@@ -32,9 +35,12 @@
     form = "%(asctime)s %(levelname)s %(name)s %(message)s"
     logging.basicConfig(level=logging.INFO, format=form, handlers=[handler])
     try:
-        read = from_platform if path is None else partial(from_operator, path)
+        meet = place(listen_text(path))
+        inherited = inherit(meet) if meet else None
+        held = str(inherited.state.get("config", "")).encode() if inherited else b""
+        read = partial(from_platform, inherited=held) if path is None else partial(from_operator, path)
         reread = partial(from_platform, again=True) if path is None else read
-        uvloop.run(serve(read(), reread, limit))
+        uvloop.run(serve(read(), reread, limit, meet, inherited))
     except ConfigError as err:
         print(f"violetdoor: {err}", file=sys.stderr)
         return 2
--- a/violetdoor/config.py
+++ b/violetdoor/config.py
@@ -41,6 +41,7 @@
     deadlines: dict[str, float]
     tells_delay: bool
     tenants: frozenset[str]  # of the line front; none: any
+    raw: bytes = b""  # the platform's settings as they were read, for the process that takes over
     console: Address | None = None  # where operators call; none: nowhere
     nats: NatsOptions | None = None  # none: the front is that of the line protocol
 
@@ -54,23 +55,38 @@
         return changed
 
 
-def from_platform(again: bool = False) -> Config:
+def listen_text(path: Path | None) -> str:
+    """The address that clients connect to, as it is written; nothing if it can't be read."""
+    try:
+        if path is not None:
+            return str(tomllib.loads(path.read_text())["listen"])
+        told = os.environ.get("BALANCER_LISTEN")
+        return told or str(orjson.loads(Path(os.environ["BALANCER_CONFIG"]).read_bytes())["listen"])
+    except (OSError, ValueError, KeyError, TypeError):
+        return ""
+
+
+OWN = ("name", "listen", "console", "limits", "seed")  # of each process; all else is its predecessor's
+
+
+def from_platform(again: bool = False, inherited: bytes = b"") -> Config:
     """Read what the platform tells a relay by the environment and the file that it names.
 
-    Read again, the file outranks the environment, which still says what held at the start.
+    Read again, the file outranks the environment, which still says what held at the start. What a predecessor
+    had in force outranks both: the file may be broken by now.
     """
     try:
         path = os.environ["BALANCER_CONFIG"]
     except KeyError as err:
         raise ConfigError("BALANCER_CONFIG names no file and no --config was given") from err
     try:
-        data = orjson.loads(Path(path).read_bytes())
+        data = _with_inherited(Path(path), inherited)
         facts = data["settings"]
         settings = settings_from(facts)
         # Guards against servers that look sound until they drop their clients: where nothing reports load,
         # echoes tell nothing of it either, unlike the simulator's notes. The time that a probe takes does.
         probes = bool(facts.get("policyLimits", {}).get("probes"))
-        told = None if again else os.environ.get("BALANCER_DISCOVERY")
+        told = None if again or inherited else os.environ.get("BALANCER_DISCOVERY")
         console = os.environ.get("BALANCER_CONSOLE") or data.get("console")
         return Config(
             name=os.environ.get("BALANCER_NAME") or data["name"],
@@ -85,6 +101,7 @@
             tenants=frozenset(str(a["name"]) for a in facts.get("accounts") or ()),
             tells_delay=bool(facts.get("familyInfo", {}).get("tellsDelay")),
             console=parse_address(console) if console else None,
+            raw=orjson.dumps(data | {"discovery": told or data["discovery"]}),
         )
     except OSError as err:
         raise ConfigError(f"{path}: {err.strerror}") from err
@@ -92,6 +109,19 @@
         raise ConfigError(f"{path}: {type(err).__name__} {err}") from err
 
 
+def _with_inherited(path: Path, inherited: bytes) -> dict[str, Any]:
+    held: dict[str, Any] = orjson.loads(inherited) if inherited else {}
+    try:
+        data = orjson.loads(path.read_bytes())
+        if not isinstance(data, dict):
+            raise ValueError("the file is no object")
+    except (OSError, ValueError):
+        if not inherited:
+            raise
+        data = {}
+    return held | {name: data[name] for name in OWN if name in data} if inherited else data
+
+
 TOP = {"name", "listen", "console", "discovery", "zone", "relays", "sockets", "attempts", "retry_after_ms",
        "nats", "classes", "tenants", "servers"}  # fmt: skip
 CLASS = {"name", "worth", "aim_ms", "deadline_ms", "message_aim_ms"}
--- a/violetdoor/core/controller.py
+++ b/violetdoor/core/controller.py
@@ -152,6 +152,7 @@
         self.follow: Callable[[], None] = lambda: None
         self.prober: Prober | None = None
         self.faults = 0
+        self.resting = False
         self._last_id = 0
         self._probes: set[asyncio.Task[None]] = set()
         aims = [c.message_aim for c in settings.classes.values()]
@@ -239,6 +240,28 @@
         """How many servers of the list get nothing new, by hand or by the module's choice."""
         return len((self.balancer.avoided() | self.bans.keys()) & self.entries.keys())
 
+    # Two processes of one relay.
+
+    def held(self) -> dict[str, tuple[float, int]]:
+        """Load and number of the connections that stand here, by server."""
+        requests = self.balancer.requests
+        loads = {s: [requests[n].load for n in there if n in requests] for s, there in self.standing.items()}
+        return {server: (sum(found), len(found)) for server, found in loads.items()}
+
+    def take_over(self, known: i.Knowledge, entries: dict[str, i.ServerEntry]) -> None:
+        """Begin from what the process before this one knew; its bans are in force already."""
+        self.entries = dict(entries)
+        self.named.update(entries)
+        listed = i.ServerList(i.ListKind.REMEMBERED, tuple(map(self._laid_over, entries.values())))
+        self.handle(replace(known, listed=listed))
+
+    def rest(self, resting: bool) -> None:
+        """Probe no more, since another process of this relay does; or probe again."""
+        if self.resting and not resting:
+            for server in self.balancer.servers.values():
+                server.probing = False
+        self.resting = resting
+
     def any_ready(self) -> bool:
         """Whether the list names any server that takes new work."""
         return any(map(self.may_send, self.entries))
@@ -298,7 +321,7 @@
                     ticket.move.set_result(None)
             case i.Follow():
                 self.follow()
-            case i.Probe():
+            case i.Probe() if not self.resting:
                 task = self.loop.create_task(self._probe(action.server))
                 self._probes.add(task)
                 task.add_done_callback(self._probes.discard)
--- a/violetdoor/fronts/line/front.py
+++ b/violetdoor/fronts/line/front.py
@@ -6,6 +6,7 @@
 import logging
 import socket
 from collections import OrderedDict, deque
+from collections.abc import Iterable
 
 from lynxdeck import interface as i
 from violetdoor.core import Controller
@@ -42,11 +43,12 @@
     def __init__(
         self, address: Address, core: Controller, directory: Directory, counts: Counters, figures: Figures,
         connect_timeout: float, sockets: int, deadlines: dict[str, float], tenants: frozenset[str],
+        listener: socket.socket | None = None,
     ) -> None:  # fmt: skip
         self.core, self.directory, self.counts, self.figures = core, directory, counts, figures
         self.connect_timeout, self.leave_retry, self.idle = connect_timeout, LEAVE_RETRY, 60.0
         busy = b"BUSY %d\r\n" % LEAVE_RETRY
-        self.acceptor = Acceptor(address, self.session, counts, sockets, over_limit=busy)
+        self.acceptor = Acceptor(address, self.session, counts, sockets, busy, listener)
         self.deadlines, self.tenants = deadlines, tenants
         self.open: set[int] = set()  # ids of the connections that are served
         self.seen: OrderedDict[int, None] = OrderedDict()  # ids of lately, oldest first
@@ -122,13 +124,42 @@
         self.counts["probes_failed"] += result is not i.Result.OK
         return i.Probed(server, result, self.core.now() - began)
 
+    @property
+    def succeeded(self) -> bool:
+        """Whether another process takes this relay's clients."""
+        return not self.acceptor.taking.is_set()
+
+    def ids(self) -> list[str]:
+        """The ids that no new connection may use."""
+        return [f"{number:x}" for number in (*self.seen, *self.open)]
+
+    def learn_ids(self, ids: Iterable[str]) -> None:
+        """Ids that another process of this relay has seen."""
+        for text in ids:
+            self.seen[int(text, 16)] = None
+        while len(self.seen) > SEEN_MOST:
+            self.seen.popitem(last=False)
+
+    async def leave_to_successor(self, began: float) -> None:
+        """Move all clients evenly from now on: where they come again, another process takes them at once."""
+        loop = asyncio.get_running_loop()
+        until = began + self.leave_within
+        while self.succeeded and self.acceptor.tasks and loop.time() < until:
+            waiting = [s.ticket for s in self.standing if s.ticket and not s.ticket.move.done()]
+            for ticket in due(waiting, until - self.leave_within * (1 - MOVED_BY) - loop.time(), STEP):
+                ticket.move.set_result(None)
+            await asyncio.sleep(STEP)
+
     async def leave(self) -> None:
         """Answer what still arrives, let requests end, move all standing clients one after another."""
         self.leaving = True
         loop = asyncio.get_running_loop()
         began = loop.time()
+        if self.succeeded:
+            await self.leave_to_successor(began)
         here, last = len(self.standing), began + self.leave_within * MOVED_BY
-        while loop.time() < began + (self.leave_within if self.acceptor.tasks else STILL_COMING):
+        coming = 0.0 if self.succeeded else STILL_COMING
+        while loop.time() < began + (self.leave_within if self.acceptor.tasks else coming):
             lately = sum(at > began - RETURN_WINDOW for at in self.returns)
             alone = self.core.settings.nodes == 1 or lately > here * RETURN_PART
             if loop.time() >= began + self.leave_within * (MOVE_FROM_ALONE if alone else MOVE_FROM):
--- a/violetdoor/fronts/line/session.py
+++ b/violetdoor/fronts/line/session.py
@@ -40,7 +40,6 @@
     async def run(self) -> None:
         """Answer a first line: a check of the front, or a request."""
         client, front = self.client, self.front
-        arrived = self.core.now()
         try:
             async with asyncio.timeout(FIRST_LINE):
                 length = await client.line()
@@ -54,9 +53,9 @@
             await send_parts(client.sock, [b"PONG\r\n"])
             async with asyncio.timeout(front.idle):
                 length = await client.line()
-            arrived = self.core.now()
         if not length:
             return
+        arrived = self.core.now()  # its time runs from the last byte, however many pieces the line came in
         try:
             opening = parse(client.view[:length], front.deadlines, front.tenants)
             known = opening.at in front.directory.addresses and self.core.now() < front.adopt_until
@@ -88,7 +87,7 @@
                 await self.answer("busy", b"BUSY %d\r\n" % front.leave_retry)
             elif opening.at:
                 await self.bring_back(opening)
-            elif front.leaving:
+            elif front.leaving and not front.succeeded:
                 await self.answer("busy", b"BUSY %d\r\n" % front.leave_retry)
             else:
                 await self.request(opening, arrived)
--- a/violetdoor/fronts/nats/front.py
+++ b/violetdoor/fronts/nats/front.py
@@ -51,6 +51,7 @@
     def __init__(
         self, address: Address, core: Controller, directory: Directory, counts: Counters, figures: Figures,
         options: NatsOptions, deadlines: dict[str, float], sockets: int, name: str,
+        listener: socket.socket | None = None,
     ) -> None:  # fmt: skip
         self.core, self.directory, self.counts, self.figures = core, directory, counts, figures
         self.options, self.deadlines, self.name = options, deadlines, name
@@ -61,7 +62,7 @@
         figures.gauges["active"] = lambda: sum(bool(s.cls) for s in self.sessions)
         self.numbers = itertools.count(1)
         full = self.info(0) + error("maximum connections exceeded")
-        self.acceptor = Acceptor(address, self.session, counts, sockets, over_limit=full)
+        self.acceptor = Acceptor(address, self.session, counts, sockets, full, listener)
 
     async def run(self) -> None:
         """Take in clients for ever."""
@@ -104,7 +105,8 @@
             session.out.put(self.info(session.number))
         loop = asyncio.get_running_loop()
         began = loop.time()
-        first, last = began + self.options.leave * GRACE_PART, began + self.options.leave * ENDED_PART
+        grace = GRACE_PART if self.acceptor.taking.is_set() else 0.0
+        first, last = began + self.options.leave * grace, began + self.options.leave * ENDED_PART
         while self.sessions and loop.time() < began + self.options.leave:
             if loop.time() >= first:
                 waiting = [s for s in self.sessions if not s.leave.done()]
--- a/violetdoor/maintenance.py
+++ b/violetdoor/maintenance.py
@@ -4,7 +4,9 @@
 
 import logging
 import os
+from collections.abc import Callable
 from pathlib import Path
+from typing import Any
 
 import orjson
 
@@ -18,6 +20,7 @@
 
     def __init__(self, core: Controller, path: Path | None) -> None:
         self.core, self.path = core, path
+        self.tell: Callable[[dict[str, Any]], None] = lambda _: None  # the other process of an upgrade
 
     def restore(self) -> None:
         """Lay the kept bans over the list; a file that does not read is left alone and told of."""
@@ -34,6 +37,7 @@
         if not self.core.ban(server, self.core.now()):
             return False
         self._keep()
+        self.tell({"ban": [server, self.core.bans[server]]})
         return True
 
     def put_back(self, server: str) -> bool:
@@ -41,6 +45,7 @@
         if not self.core.lift(server):
             return False
         self._keep()
+        self.tell({"lift": server})
         return True
 
     def _keep(self) -> None:
--- a/violetdoor/net/acceptor.py
+++ b/violetdoor/net/acceptor.py
@@ -9,7 +9,7 @@
 from collections.abc import Awaitable, Callable
 
 from violetdoor.net.counters import Counters
-from violetdoor.net.sockets import Address, end, listen
+from violetdoor.net.sockets import Address, end, listen, readable
 
 log = logging.getLogger("violetdoor.accept")
 
@@ -43,11 +43,11 @@
 
     def __init__(
         self, address: Address, serve: Callable[[socket.socket], Awaitable[bool]], counts: Counters,
-        sockets: int, over_limit: bytes,
+        sockets: int, over_limit: bytes, sock: socket.socket | None = None,
     ) -> None:  # fmt: skip
         self.serve, self.counts, self.over_limit = serve, counts, over_limit
         self.room = max(2, sockets - RESERVED)
-        self.sock = listen(address)
+        self.sock = sock or listen(address, shared=True)  # one that a predecessor handed over
         self.address: Address = self.sock.getsockname()[:2]
         self.tasks: set[asyncio.Task[None]] = set()
         # Since when each has waited that was not admitted or is about to end, longest first.
@@ -55,14 +55,17 @@
         self.admitted: set[asyncio.Task[None]] = set()
         self.evicted: set[asyncio.Task[None]] = set()
         self.accepting = False  # clients that come now are taken in
+        self.beside = 0  # descriptors that another process of this relay holds
+        self.taking = asyncio.Event()  # cleared while another process takes this relay's clients
+        self.taking.set()
 
     async def run(self) -> None:
         """Take in clients for ever."""
         loop = asyncio.get_running_loop()
-        self.accepting = True
+        self.accepting = self.taking.is_set()
         while True:
             try:
-                sock, _ = await loop.sock_accept(self.sock)
+                sock = await self._next()
             except OSError as err:
                 # EMFILE, ENFILE, ENOBUFS, or a client already gone: guards against a relay that stops
                 # listening for good because descriptors were short for a moment.
@@ -85,9 +88,26 @@
             # taken in, or those that are about to speak would be sent away with those that never do.
             await asyncio.sleep(0)
 
+    async def _next(self) -> socket.socket:
+        """Accept the next client, in one step once it waits: a wait that is broken off loses nobody."""
+        while True:
+            await self.taking.wait()
+            try:
+                return self.sock.accept()[0]
+            except (BlockingIOError, InterruptedError):
+                await readable(self.sock)
+
+    def take(self, clients: bool) -> None:
+        """Take clients in, or leave those that wait in the queue to the process that shares it."""
+        self.accepting = clients
+        if clients:
+            self.taking.set()
+        else:
+            self.taking.clear()
+
     def held(self) -> int:
         """Descriptors that the clients may need: an admitted one has a second for its server."""
-        return len(self.tasks) - len(self.evicted) + len(self.admitted)
+        return self.beside + len(self.tasks) - len(self.evicted) + len(self.admitted)
 
     def admit(self) -> bool:
         """The running task's client said what it wants: whether there is room to serve it."""
--- a/violetdoor/net/sockets.py
+++ b/violetdoor/net/sockets.py
@@ -22,17 +22,30 @@
     return host.strip("[]"), int(port)
 
 
-def listen(address: Address) -> socket.socket:
+def listen(address: Address, shared: bool = False) -> socket.socket:
     """Open a listening socket."""
     family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
     sock = socket.socket(family, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    if shared:  # a predecessor that can't hand its socket over may still hold the address
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
     sock.setblocking(False)
     sock.bind(address)
     sock.listen(BACKLOG)
     return sock
 
 
+async def readable(sock: socket.socket) -> None:
+    """Wait until there is something to read or to accept."""
+    loop = asyncio.get_running_loop()
+    ready = asyncio.Event()
+    loop.add_reader(sock, ready.set)
+    try:
+        await ready.wait()
+    finally:
+        loop.remove_reader(sock)
+
+
 async def connect(address: Address, timeout: float) -> socket.socket:
     """Connect within the timeout or raise OSError (TimeoutError is one)."""
     family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
--- a/violetdoor/program.py
+++ b/violetdoor/program.py
@@ -18,11 +18,13 @@
 from violetdoor.core import Controller
 from violetdoor.fronts.line.front import LineFront
 from violetdoor.fronts.nats.front import NatsFront
+from violetdoor.handover import Handover, Inherited
 from violetdoor.maintenance import Maintenance
 from violetdoor.net.counters import Counters
 from violetdoor.net.discovery import Directory, Watch
 from violetdoor.net.figures import Figures
 from violetdoor.net.logs import Limit
+from violetdoor.sharing import Sharing
 
 log = logging.getLogger("violetdoor")
 
@@ -46,12 +48,17 @@
 class Program:
     """One relay."""
 
-    def __init__(self, config: Config, reread: Callable[[], Config], limit: Limit) -> None:
+    def __init__(
+        self, config: Config, reread: Callable[[], Config], limit: Limit, meet: Path | None = None,
+        inherited: Inherited | None = None,
+    ) -> None:  # fmt: skip
         self.limit = limit
         self.config, self.reread, self.counts, self.phase = config, reread, Counters(), Phase.STARTING
         self.directory, self.figures = Directory(), Figures(config.deadlines)
         self.stop = asyncio.Event()
         self.watch: Watch | None = None
+        self.meet, self.inherited = meet, inherited  # where its processes meet; what the one before gave
+        self.handover: Handover | None = None
 
     def enter(self, phase: Phase) -> None:
         """Go on to the next phase."""
@@ -95,14 +102,15 @@
 
     def front(self, core: Controller) -> LineFront | NatsFront:
         """The one front that this program has."""
-        c = self.config
+        c, listener = self.config, self.inherited.listener if self.inherited else None
         if c.nats is None:
             return LineFront(
                 c.listen, core, self.directory, self.counts, self.figures, c.connect_timeout, c.sockets,
-                c.deadlines, c.tenants,
+                c.deadlines, c.tenants, listener,
             )  # fmt: skip
         return NatsFront(
-            c.listen, core, self.directory, self.counts, self.figures, c.nats, c.deadlines, c.sockets, c.name
+            c.listen, core, self.directory, self.counts, self.figures, c.nats, c.deadlines, c.sockets, c.name,
+            listener,
         )
 
     def console(self, front: LineFront | NatsFront, maintenance: Maintenance) -> Console | None:
@@ -111,10 +119,45 @@
             return None
 
         def healthy() -> bool:
-            return self.phase is Phase.SERVING and front.acceptor.accepting
+            settled = self.handover is None or self.handover.settled
+            return self.phase is Phase.SERVING and front.acceptor.accepting and settled
 
         return Console(self.config.console, Calls(healthy, self.figures, maintenance), self.counts)
 
+    def begin_list(self, core: Controller) -> None:
+        """Start from all that the process before this one knew, else from the known list."""
+        if self.inherited is None:
+            kind = i.ListKind.COMPLETE if self.watch is None else i.ListKind.REMEMBERED
+            core.listed(self.directory.read(self.config.known, kind))
+            return
+        state = self.inherited.state
+        core.bans.update(state["bans"])
+        core.returned.update({server: (at, back) for server, (at, back) in state["returned"].items()})
+        core.named.update(state["named"])
+        rows = [i.ServerEntry(**row | {"state": i.ServerState(row["state"])}) for row in state["entries"]]
+        entries = {entry.server: entry for entry in rows}
+        servers = tuple(i.ServerKnown(**row) for row in state["knowledge"]["servers"])
+        known = {n: state["knowledge"][n] for n in ("fleet", "unit", "quickest", "late")}
+        core.take_over(i.Knowledge(**known, servers=servers), entries)
+        self.directory.addresses = {name: (host, port) for name, (host, port) in state["addresses"].items()}
+        self.directory.version = state["version"]
+
+    async def meet_others(
+        self, core: Controller, front: LineFront | NatsFront, maintenance: Maintenance
+    ) -> asyncio.Task[None] | None:
+        """Take over from the process before this one, and be there for the one after it."""
+        if self.meet is None:
+            return None
+        sharing = Sharing(core, front, self.directory, maintenance, lambda: self.config.raw)
+        handover = self.handover = Handover(self.meet, sharing, front.acceptor.sock)
+        maintenance.tell = handover.tell
+        await asyncio.sleep(0)  # the front accepts from here on
+        if self.inherited is not None:
+            sharing.told({"ids": self.inherited.state["ids"]})
+            handover.took_over(self.inherited)
+            log.info("took over from the process before: %d servers known", len(core.entries))
+        return asyncio.get_running_loop().create_task(handover.run())
+
     async def run(self) -> None:
         """Start, serve until SIGTERM, leave, stop."""
         config, loop = self.config, asyncio.get_running_loop()
@@ -129,8 +172,7 @@
         if config.discovery is not None:
             watch = self.watch = Watch(config.discovery, self.directory, core.listed, self.counts)
             core.follow = watch.follow
-        known = i.ListKind.COMPLETE if watch is None else i.ListKind.REMEMBERED
-        core.listed(self.directory.read(config.known, known))
+        self.begin_list(core)
         front = self.front(core)
         self.figures.gauges["pool_size"] = lambda: len(core.entries)
         self.figures.gauges["pool_ejected"] = core.avoided
@@ -139,6 +181,7 @@
         signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
         serving, stopping = loop.create_task(front.run()), loop.create_task(self.stop.wait())
         calling = loop.create_task(console.run()) if console else None
+        handing = await self.meet_others(core, front, maintenance)
         self.enter(Phase.SERVING)
         log.info("listening on %s:%d", *front.acceptor.address)
         if console is not None:
@@ -152,6 +195,9 @@
         await asyncio.gather(serving, return_exceptions=True)
         if watch is not None:
             await watch.stop()
+        if handing is not None:
+            handing.cancel()
+            await asyncio.gather(handing, return_exceptions=True)
         if console is not None and calling is not None:
             calling.cancel()
             await console.close()
