--- a/lynxdeck/interface.py
+++ b/lynxdeck/interface.py
@@ -246,6 +246,13 @@
     held: Mapping[str, tuple[float, int]]
 
 
+@dataclass(slots=True, frozen=True)
+class Reconfigured:
+    """New settings are in force; what is under way keeps the class that it came with."""
+
+    settings: Settings
+
+
 @dataclass(slots=True, frozen=True)
 class PeerMessage:
     """Bytes from another node."""
@@ -266,6 +273,7 @@
     | Probed
     | Knowledge
     | Beside
+    | Reconfigured
     | PeerMessage
 )
 
--- a/lynxdeck/policy.py
+++ b/lynxdeck/policy.py
@@ -90,7 +90,7 @@
             i.ServerList: self.list_changed, i.Arrival: self.arrive, i.Adopted: self.adopted,
             i.Established: self.established, i.Note: self.note, i.Outcome: self.ended, i.Probed: self.probed,
             i.Abandoned: self.abandoned, i.TimerFired: self.timer_fired, i.PeerMessage: lambda _: None,
-            i.Knowledge: self.learn, i.Beside: self.beside,
+            i.Knowledge: self.learn, i.Beside: self.beside, i.Reconfigured: self.reconfigured,
         }  # fmt: skip
 
     def handle(self, now: float, event: i.Event) -> list[i.Action]:
@@ -162,6 +162,9 @@
         for server in self.servers.values():
             server.beside = event.held.get(server.name, (0.0, 0))
 
+    def reconfigured(self, event: i.Reconfigured) -> None:
+        self.settings, self.margin = event.settings, 4 * event.settings.period
+
     # Forecast, budget and limit, once an interval.
 
     def tick(self) -> None:
@@ -430,6 +433,7 @@
         if not event.result.never_ran and request.ran is None:
             request.ran = (server, self.now - event.latency)
         again = request.attempts < self.settings.max_attempts and self.now < request.deadline - self.margin
+        again = again and (request.ran is None or request.cls.effect is not i.Effect.UNSAFE)
         if event.final:
             self.drop(request)
         elif again and not (timed_out and self.late >= LATE):  # or a slow shared store gets yet more work
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import contextlib
+import json
+import signal
 from pathlib import Path
 
 from nats import connect
@@ -158,3 +160,63 @@
                 assert (await it.figures())["pool_ejected"] == 1
 
     run(test)
+
+
+def test_settings_change_whole_at_sighup_or_not_at_all(tmp_path: Path) -> None:
+    """A class comes, another goes, attempts drop; clients under way stay; no broken file changes anything."""
+
+    async def test() -> None:
+        server = GateServer()
+        async with world(tmp_path, server) as (it, _):
+            path = tmp_path / "config.json"
+            data = json.loads(path.read_text())
+
+            async def hup(text: str, figure: str) -> None:
+                before = (await it.figures())[figure]
+                path.write_text(text)
+                it.process.send_signal(signal.SIGHUP)
+                async with asyncio.timeout(PATIENCE):
+                    while (await it.figures())[figure] == before:
+                        await asyncio.sleep(0.01)
+
+            old, old_writer = await opened(it)
+            assert await line(old) == b"UP r1\r\n"
+            door = data["settings"]["classes"][0] | {"name": "door", "effect": "at_most_once"}
+            limits = data["settings"]["policyLimits"] | {"sendCap": 1}
+            new = data | {"settings": data["settings"] | {"classes": [door], "policyLimits": limits}}
+
+            def settings(**changed: object) -> str:
+                return json.dumps(new | {"settings": new["settings"] | changed})
+
+            broken = [
+                "", json.dumps(new)[:-40], "[]",
+                json.dumps({k: v for k, v in new.items() if k != "discovery"}),
+                settings(classes=[door | {"hardLimit": 0}]), settings(classes=[door | {"hardLimit": "x"}]),
+                settings(classes=[]), settings(policyLimits=limits | {"sendCap": 0}),
+                settings(classes=[{k: v for k, v in door.items() if k != "goalTime"}]),
+                json.dumps(new | {"settings": {k: v for k, v in new["settings"].items() if k != "rules"}}),
+            ]  # fmt: skip
+            for text in broken:
+                await hup(text, "config_rejected")
+            reader, _ = await opened(it, b"c=door,d=1000")
+            assert await line(reader) == b"ERR\r\n"
+            kept = await opened(it)
+            assert await line(kept[0]) == b"UP r1\r\n"
+            await hup(json.dumps(new), "config_applied")
+            figures = await it.figures()
+            assert figures["config_rejected"] == len(broken) and figures["ok.door"] == 0
+            placed = await opened(it, b"c=door,d=1000")
+            assert await line(placed[0]) == b"UP r1\r\n"
+            reader, _ = await opened(it)
+            assert await line(reader) == b"ERR\r\n"
+            old_writer.write(b"M 1\r\n")
+            assert await line(old) == b"re M 1\r\n"
+            # At most once, and one attempt: what may have run is not tried again, nor said to be harmless.
+            server.first, tried = b"ERR\r\n", len(server.opened)
+            reader, _ = await opened(it, b"c=door,d=1000")
+            assert await line(reader) == b"ERR\r\n"
+            assert len(server.opened) == tried + 1
+            seen = await it.figures()
+            assert (seen["errors.door"], seen["errors.checkin"], seen["active"]) == (1, 1, 3)
+
+    run(test)
--- a/violetdoor/config.py
+++ b/violetdoor/config.py
@@ -47,8 +47,7 @@
 
     def fixed_changes(self, new: Config) -> list[str]:
         """What is different in a newer configuration and takes a restart."""
-        names = ("name", "listen", "console", "settings", "sockets", "connect_timeout", "deadlines",
-                 "tells_delay", "tenants")  # fmt: skip
+        names = ("name", "listen", "console", "sockets")
         changed = [name for name in names if getattr(self, name) != getattr(new, name)]
         if self.nats and new.nats and replace(self.nats, tenants={}) != replace(new.nats, tenants={}):
             changed.append("nats")
@@ -82,6 +81,7 @@
     try:
         data = _with_inherited(Path(path), inherited)
         facts = data["settings"]
+        _check(facts)
         settings = settings_from(facts)
         # Guards against servers that look sound until they drop their clients: where nothing reports load,
         # echoes tell nothing of it either, unlike the simulator's notes. The time that a probe takes does.
@@ -109,6 +109,39 @@
         raise ConfigError(f"{path}: {type(err).__name__} {err}") from err
 
 
+def _check(facts: dict[str, Any]) -> None:
+    """See that the settings can be worked by; guards against a file that reads and is wrong all the same."""
+    if not facts["classes"]:
+        raise ValueError("no classes")
+    for c in facts["classes"]:
+        if not isinstance(c["name"], str) or not c["name"]:
+            raise ValueError("a class without a name")
+        for name in ("goalTime", "hardLimit"):
+            _positive(c[name], f"{name} of class {c['name']!r}")
+    limits = facts["policyLimits"]
+    _positive(limits["sendCap"], "sendCap")
+    _positive(limits.get("connectTimeout", 200.0), "connectTimeout")
+
+
+def lacks(old: Any, new: Any, where: str = "the file") -> str:
+    """The first key that the configuration in force has and a newer one lacks, or nothing.
+
+    Guards against a file that was cut and still reads: it would be taken for one with other settings.
+    """
+    if isinstance(old, dict) and isinstance(new, dict):
+        for name, value in old.items():
+            if name not in new:
+                return f"{name!r} is missing in {where}"
+            if name != "known" and (found := lacks(value, new[name], name)):
+                return found
+    elif isinstance(old, list) and isinstance(new, list) and all(isinstance(v, dict) for v in old + new):
+        shared = set.intersection(*(set(v) for v in old)) if old else set()
+        for entry in new:
+            if missing := shared - set(entry):
+                return f"{min(missing)!r} is missing in {where}"
+    return ""
+
+
 def _with_inherited(path: Path, inherited: bytes) -> dict[str, Any]:
     held: dict[str, Any] = orjson.loads(inherited) if inherited else {}
     try:
--- a/violetdoor/core/controller.py
+++ b/violetdoor/core/controller.py
@@ -159,8 +159,15 @@
         self.delays = Delays(min(aims, default=0.0))
         self.answered_at: dict[str, float] = {}  # when a server last answered a message
         self.loop.call_later(LOOK / 1000, self._find_silent)
-        if tells_delay and aims:
-            self.loop.call_later(WINDOW / 1000, self._tell_delays)
+        self.tells_delay = tells_delay and bool(aims)
+        self.loop.call_later(WINDOW / 1000, self._tell_delays)
+
+    def reconfigure(self, settings: i.Settings, tells_delay: bool) -> None:
+        """Go over to new settings at once; classes that have vanished stay for what is under way."""
+        aims = [c.message_aim for c in settings.classes.values()]
+        self.delays.threshold, self.tells_delay = min(aims, default=0.0) / 3, tells_delay and bool(aims)
+        self.settings = replace(settings, classes={**self.settings.classes, **settings.classes})
+        self.handle(i.Reconfigured(self.settings))
 
     def listed(self, servers: i.ServerList) -> None:
         """The list, a change of it, or a call for it that failed."""
@@ -372,6 +379,8 @@
 
     def _tell_delays(self) -> None:
         self.loop.call_later(WINDOW / 1000, self._tell_delays)
+        if not self.tells_delay:
+            return
         now = self.now()
         ages = {
             server: [now - t.unanswered[0] for t in tickets.values() if t.unanswered]
--- a/violetdoor/fronts/line/front.py
+++ b/violetdoor/fronts/line/front.py
@@ -46,21 +46,31 @@
         listener: socket.socket | None = None,
     ) -> None:  # fmt: skip
         self.core, self.directory, self.counts, self.figures = core, directory, counts, figures
-        self.connect_timeout, self.leave_retry, self.idle = connect_timeout, LEAVE_RETRY, 60.0
+        self.leave_retry, self.idle = LEAVE_RETRY, 60.0
         busy = b"BUSY %d\r\n" % LEAVE_RETRY
         self.acceptor = Acceptor(address, self.session, counts, sockets, busy, listener)
-        self.deadlines, self.tenants = deadlines, tenants
         self.open: set[int] = set()  # ids of the connections that are served
         self.seen: OrderedDict[int, None] = OrderedDict()  # ids of lately, oldest first
         self.adopt_until = core.now() + ADOPT_WITHIN * 1000
-        longest = max(deadlines.values(), default=0.0) / 1000
-        self.leave_within = min(longest, MOST_DEADLINE) + KILL_AFTER - CALM_EXIT
+        self.leave_within = MOST_DEADLINE + KILL_AFTER - CALM_EXIT
+        self.reconfigure(deadlines, tenants, connect_timeout)
         self.leaving = False
         self.returns: deque[float] = deque(maxlen=RETURNS_MOST)  # when clients came that were moved or broke
         self.standing: set[Session] = set()
         core.prober = self.probe
         figures.gauges["active"] = lambda: len(self.open)
 
+    def reconfigure(
+        self, deadlines: dict[str, float], tenants: frozenset[str], connect_timeout: float
+    ) -> None:
+        """Take these classes and tenants from now on.
+
+        Nobody says by which deadline a later kill is counted, so the shortest time that was ever owed holds.
+        """
+        self.deadlines, self.tenants, self.connect_timeout = deadlines, tenants, connect_timeout
+        longest = max(deadlines.values(), default=0.0) / 1000
+        self.leave_within = min(self.leave_within, min(longest, MOST_DEADLINE) + KILL_AFTER - CALM_EXIT)
+
     def take_id(self, number: int) -> bool:
         """Whether this id is new; it counts as seen from now on.
 
--- a/violetdoor/fronts/line/opening.py
+++ b/violetdoor/fronts/line/opening.py
@@ -20,7 +20,9 @@
 
 
 class SyntaxFaultError(Exception):
-    """The line is no OPEN line."""
+    """The line is no OPEN line, or not one that can be served; `cls` is what it names and is not known."""
+
+    cls = ""
 
 
 @dataclass(slots=True)
@@ -87,7 +89,9 @@
     values = Values(found[3].decode("ascii"))
     cls, tenant, at = values.get("c", ""), values.get("t", ""), values.get("at", "")
     if cls not in deadlines:
-        raise SyntaxFaultError(f"unknown class {cls[:32]!r}")
+        fault = SyntaxFaultError(f"unknown class {cls[:32]!r}")
+        fault.cls = cls
+        raise fault
     if tenants and tenant not in tenants:
         raise SyntaxFaultError(f"unknown tenant {tenant[:32]!r}")
     # A connection from before the run has no deadline any more, and says so with a very long time.
--- a/violetdoor/fronts/line/session.py
+++ b/violetdoor/fronts/line/session.py
@@ -66,6 +66,7 @@
         except SyntaxFaultError as err:
             front.counts["syntax"] += 1
             log.warning("bad first line: %s", err)
+            self.cls = err.cls  # the figures may know it: a class that has vanished
             await self.answer("failed", b"ERR\r\n")
             return
         client.consume(length)
--- a/violetdoor/fronts/nats/front.py
+++ b/violetdoor/fronts/nats/front.py
@@ -55,7 +55,7 @@
     ) -> None:  # fmt: skip
         self.core, self.directory, self.counts, self.figures = core, directory, counts, figures
         self.options, self.deadlines, self.name = options, deadlines, name
-        self.tenants = options.tenants  # a reload may change these, nothing else of the options
+        self.tenants = options.tenants  # a reload may change these and the deadlines, nothing else
         self.identity = secrets.token_hex(28).upper()
         self.leaving = False
         self.sessions: set[Session] = set()
@@ -64,6 +64,10 @@
         full = self.info(0) + error("maximum connections exceeded")
         self.acceptor = Acceptor(address, self.session, counts, sockets, full, listener)
 
+    def reconfigure(self, deadlines: dict[str, float], tenants: dict[str, tuple[str, str]]) -> None:
+        """Take these from now on; a session that is open keeps its class, also one that has vanished."""
+        self.deadlines, self.tenants = self.deadlines | deadlines, tenants
+
     async def run(self) -> None:
         """Take in clients for ever."""
         await self.acceptor.run()
--- a/violetdoor/program.py
+++ b/violetdoor/program.py
@@ -11,8 +11,10 @@
 from enum import Enum
 from pathlib import Path
 
+import orjson
+
 from lynxdeck import interface as i
-from violetdoor.config import Config, ConfigError
+from violetdoor.config import Config, ConfigError, from_platform, lacks
 from violetdoor.console.calls import Calls
 from violetdoor.console.server import Console
 from violetdoor.core import Controller
@@ -80,8 +82,8 @@
             new = self.reread()
             if (new.discovery is None) != (self.watch is None):
                 raise ConfigError("from discovery to a list of servers, or back, takes a restart")
-            if not new.deadlines.keys() <= self.config.deadlines.keys():
-                raise ConfigError("a new class takes a restart")
+            if missing := self.config.raw and lacks(orjson.loads(self.config.raw), orjson.loads(new.raw)):
+                raise ConfigError(missing)
         except ConfigError as err:
             self.counts["reload_failed"] += 1
             self.figures.counts["config_rejected"] += 1
@@ -89,15 +91,27 @@
             return
         self.counts["reloads"] += 1
         self.figures.counts["config_applied"] += 1
-        if isinstance(front, NatsFront) and new.nats is not None:
-            front.tenants = new.nats.tenants
+        if self.handover is not None and new.raw:
+            self.handover.tell({"config": new.raw.decode()})
+        self.apply(new, core, front)
+
+    def apply(self, new: Config, core: Controller, front: LineFront | NatsFront) -> None:
+        """Go over to a configuration that has passed every check, in one step."""
+        self.figures.know(new.deadlines)
+        core.reconfigure(new.settings, new.tells_delay)
+        if isinstance(front, LineFront):
+            front.reconfigure(new.deadlines, new.tenants, new.connect_timeout)
+        elif new.nats is not None:
+            front.reconfigure(new.deadlines, new.nats.tenants)
         where = "the listed servers"
         if self.watch is not None and new.discovery is not None:
             where = "discovery at {}:{}".format(*new.discovery)
-            self.watch.go_over(new.discovery)
+            if new.discovery != self.watch.address:  # else all relays of a site would ask anew together
+                self.watch.go_over(new.discovery)
         else:
             core.listed(self.directory.read(new.known, i.ListKind.COMPLETE))
         changed = ", ".join(self.config.fixed_changes(new)) or "nothing"
+        self.config = new
         log.info("reloaded: %s; changed, but takes a restart: %s", where, changed)
 
     def front(self, core: Controller) -> LineFront | NatsFront:
@@ -148,7 +162,11 @@
         """Take over from the process before this one, and be there for the one after it."""
         if self.meet is None:
             return None
-        sharing = Sharing(core, front, self.directory, maintenance, lambda: self.config.raw)
+
+        def apply(raw: bytes) -> None:
+            self.apply(from_platform(inherited=raw), core, front)
+
+        sharing = Sharing(core, front, self.directory, maintenance, lambda: self.config.raw, apply)
         handover = self.handover = Handover(self.meet, sharing, front.acceptor.sock)
         maintenance.tell = handover.tell
         await asyncio.sleep(0)  # the front accepts from here on
--- a/violetdoor/sharing.py
+++ b/violetdoor/sharing.py
@@ -18,10 +18,10 @@
 
     def __init__(
         self, core: Controller, front: LineFront | NatsFront, directory: Directory, maintenance: Maintenance,
-        config: Callable[[], bytes],
+        config: Callable[[], bytes], apply: Callable[[bytes], None],
     ) -> None:  # fmt: skip
         self.core, self.front, self.directory = core, front, directory
-        self.maintenance, self.config = maintenance, config
+        self.maintenance, self.config, self.apply = maintenance, config, apply
         self.ids_told: set[str] = set()
 
     def ids(self) -> list[str]:
@@ -55,6 +55,8 @@
                 self.core.ban(server, since)
             case {"lift": str(server)}:
                 self.core.lift(server)
+            case {"config": str(text)}:
+                self.apply(text.encode())
         if "beside" in message:
             beside = message["beside"]
             held = {server: (load, count) for server, (load, count) in beside.get("held", {}).items()}
