--- a/lynxdeck/policy.py
+++ b/lynxdeck/policy.py
@@ -130,9 +130,8 @@
                 heapq.heappush(self.orders[away], (turn, self.random.random(), server))
                 server.in_order = True
             if server.ready and server.cold_since != entry.started and self.ramp(server) < 1:
-                server.cold_since = entry.started  # a random part of a gap: nodes add up to one ramp
-                first = self.random.random() * self.cold_gap(server, self.held() / max(1, len(self.requests)))
-                heapq.heappush(self.cold, (self.now + first, self.random.random(), entry.started, server))
+                server.cold_since = entry.started
+                self.cold_turn(server)
         self.groups.clear()
         listed = {e.server for e in event.entries} if event.kind.whole else self.servers
         for name, server in list(self.servers.items()):
@@ -178,8 +177,12 @@
         load = self.held() + sum(s.beside[0] for s in self.servers.values())
         if load > 0:
             unit = load * self.settings.nodes / (fleet * self.weight)
-            old = unit if self.fleet is None or self.unit == math.inf else self.unit
+            first = self.unit == math.inf
+            old = unit if self.fleet is None or first else self.unit
             self.unit = old + SMOOTH_ONE * (unit - old)
+            for server in self.servers.values() if first else ():  # found cold at the own start: no turn yet
+                if server.ready and self.ramp(server) < 1:
+                    self.cold_turn(server)
         capacity = math.inf if fleet < CONTENDED else load * ROOM / fleet  # own part of the fleet's
         part, levels = [capacity / max(1, len(active))] * len(active), [t.priority for t in active]
         budgets = tiered_budget([forecast(t) for t in active], part, levels, capacity)
@@ -341,6 +344,11 @@
         start = self.settings.cold_start
         return min(1.0, start + (1 - start) * max(0.0, age) / max(1e-9, self.settings.cold_time))
 
+    def cold_turn(self, server: Server) -> None:
+        """Give a cold server its first turn, after a random part of a gap: nodes add up to one ramp."""
+        first = self.random.random() * self.cold_gap(server, self.held() / max(1, len(self.requests)))
+        heapq.heappush(self.cold, (self.now + first, self.random.random(), server.entry.started, server))
+
     def cold_gap(self, server: Server, load: float) -> float:
         """Time for this load from this node; guards against nodes that all fill the same empty server."""
         part = self.ramp(server) * self.settings.cold_factor * COLD_PART / self.settings.nodes
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -743,3 +743,20 @@
         node.run_to(node.now + 1100.0)
         assert {p.server for p in node.got(i.Probe)} <= {"s1"}
         answer_probes(node, {})
+
+
+def test_server_found_cold_at_the_own_start_gets_turns_as_soon_as_loads_are_known() -> None:
+    """Guards against a relay that comes back after a kill and leaves out all that is cold until warm."""
+    node = Node(servers=3, cold_time=8000.0, cold_start=0.4, cold_factor=4.0)
+    node.now = 10_000.0
+    node.listed(i.ServerEntry("s3", zone="a", started=10_000.0))
+    for request in range(1, 31):
+        node.ask(request)
+        node.up(request)
+    node.run_to(12_000.0)
+    request = 100
+    while node.now < 17_000.0 and "s3" not in node.sent(request):
+        request += 1
+        node.run_to(node.now + 100.0)
+        node.ask(request)
+    assert node.now < 17_000.0
