--- a/lynxdeck/policy.py
+++ b/lynxdeck/policy.py
@@ -32,6 +32,7 @@
 SLOW, SLOW_LEAST = 5.0, 25.0  # times the quickest server's set-up, and ms, from which one is overloaded
 PROBE_LATE, PROBE_LEAST, PROBE_SEVERE = 2.0, 4.0, 3.0  # times a server's quickest probe, and ms over it, from
 # which a probe is late; times that from which the server can hardly work at all
+OWN_PAUSE, PAUSED = 100.0, 3  # ms in which so many servers late and none in time are this node's own pause
 LOOK_EACH = 20  # own connections from which a server is looked at in every interval
 PROBE_SPREAD = 2.0  # times the quickest server's quickest probe that a sound one's may take
 MOVE_ABOVE, MOVE_PAUSE = 0.95, 2_500.0  # load over capacity from which a server sheds; ms until seen
@@ -83,6 +84,7 @@
         self.tenants, self.groups = dict[str, Tenant](), dict[int, list[Server]]()  # with each group's order
         self.fleet: float | None = None  # mean of reported load over capacity
         self.unit, self.weight = math.inf, 1.0  # load that fills a unit of listed weight, and their sum
+        self.sound_at = -math.inf  # when a probe was last in time
         self.quickest = math.inf  # shortest smoothed set-up seen at any server
         self.sent, self.late, self.list_calls = 0.0, 0.0, 0  # load sent lately; share timed out; calls
         self.next_tick = now + INTERVAL * self.random.uniform(0.1, 1.0)
@@ -513,14 +515,19 @@
         base = min(server.quick, PROBE_SPREAD * min(s.quick for s in self.servers.values()))
         over = event.latency / max(PROBE_LATE * base, PROBE_LEAST + base)
         if over <= 1:
+            self.sound_at = self.now
             if server.doubted:  # else what it is held for was told otherwise
                 server.doubted, server.load = False, None
-        elif not server.doubted:
+            return
+        server.late_at, since = self.now, self.now - OWN_PAUSE
+        if not server.doubted:
             server.doubted = True
             self.look(server)
-        else:
+        elif self.sound_at > since or sum(s.late_at > since for s in self.servers.values()) < PAUSED:
             server.load, server.report_at = OVERLOAD if over < PROBE_SEVERE else LOAD_CLIP, self.now
             self.shed(server, server.load)
+        elif server.load is None:  # the node's own pause: guards against emptying sound servers
+            server.doubted = False
 
     def report(self, server: Server, values: Mapping[str, float]) -> None:
         server.report_at, load = self.now, values.get("load", values.get("util"))
--- a/lynxdeck/records.py
+++ b/lynxdeck/records.py
@@ -42,6 +42,7 @@
     setup: float | None = None  # ms that setting a connection up takes there, smoothed
     quick: float = math.inf  # ms of its quickest probe
     doubted: bool = False  # its last probe was late
+    late_at: float = -math.inf  # when that was
     cold_since: float = 0.0  # the start for which it has cold turns
     moved_at: float = -math.inf
     in_order: bool = False  # has a place in the turn order
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -760,3 +760,18 @@
         node.run_to(node.now + 100.0)
         node.ask(request)
     assert node.now < 17_000.0
+
+
+def test_probes_of_all_servers_late_at_once_are_an_own_pause_and_move_nobody() -> None:
+    """Guards against a flood of bad clients: it holds this process up, and sound servers would be emptied."""
+    node = timed_node()
+    for _ in range(3):
+        while len(node.got(i.Probe)) < 4:
+            answer_probes(node, {})
+            node.run_to(node.now + 500.0)
+        for _ in range(2):
+            for p in node.got(i.Probe):
+                node.log.remove(p)
+                node.at(node.now, i.Probed(p.server, i.Result.OK, 20.0))
+        node.run_to(node.now + 200.0)
+    assert not node.got(i.Move) and all(s.load is None for s in node.balancer.servers.values())
