--- /dev/null
+++ b/Makefile
@@ -0,0 +1,12 @@
+# `make demo` and `make test` are all that a newcomer needs; both set up .venv first.
+.PHONY: demo test
+
+.venv/requirements.txt: requirements.txt
+	rm -rf .venv && python3 -m venv .venv && .venv/bin/pip -q install -r requirements.txt
+	cp requirements.txt .venv/requirements.txt
+
+demo: .venv/requirements.txt
+	.venv/bin/python -m violetdoor demo
+
+test: .venv/requirements.txt
+	PATH=.venv/bin:$$PATH sh -c 'ruff check . && mypy && pytest -q'
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Long measurements, one command each; results stand in docs/measurements."""
--- a/examples/toy_servers.py
+++ b/examples/toy_servers.py
@@ -7,75 +7,27 @@
 import asyncio
 import sys
 
-PORTS = (4223, 4224)
-hanging: set[int] = set()
-subscribers: dict[tuple[int, asyncio.StreamWriter, str], str] = {}  # port, connection and sid: subject
-
-
-def publish(subject: str, sizes: list[str], body: bytes) -> None:
-    """Deliver one message to all subscribers of its subject."""
-    for (port, writer, sid), wanted in subscribers.items():
-        if wanted == subject and port not in hanging:
-            kind = "HMSG" if len(sizes) == 2 else "MSG"
-            writer.write(f"{kind} {subject} {sid} {' '.join(sizes)}\r\n".encode() + body)
-
-
-async def serve(port: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-    """Speak to one client of one server."""
-    print(f"{port}: a connection comes", flush=True)
-    if port not in hanging:
-        writer.write(b'INFO {"server_id":"toy","headers":true,"max_payload":1048576}\r\n')
-    while line := (await reader.readline()).decode():
-        op, *args = line.split()
-        body = await reader.readexactly(int(args[-1]) + 2) if op in ("PUB", "HPUB") else b""
-        if port in hanging:
-            continue
-        if op == "PING":
-            writer.write(b"PONG\r\n")
-        elif op == "SUB":
-            subscribers[port, writer, args[-1]] = args[0]
-        elif op == "UNSUB":
-            subscribers.pop((port, writer, args[0]), None)
-        elif op in ("PUB", "HPUB"):
-            publish(args[0], args[-2:] if op == "HPUB" else args[-1:], body)
-    print(f"{port}: a connection ends", flush=True)
-
+from violetdoor.cli.demo import Toy
 
-async def accept(port: int) -> None:
-    """Listen on one port."""
-
-    async def one(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        connections[writer] = port
-        try:
-            await serve(port, reader, writer)
-        except (ConnectionError, asyncio.IncompleteReadError):
-            print(f"{port}: a connection breaks", flush=True)
-        finally:
-            del connections[writer]
-            for key in [k for k in subscribers if k[1] is writer]:
-                del subscribers[key]
-            writer.close()
-
-    await asyncio.start_server(one, "127.0.0.1", port)
-
-
-connections: dict[asyncio.StreamWriter, int] = {}
+PORTS = (4223, 4224)
 
 
 async def main() -> None:
     """Serve until the input ends."""
-    for port in PORTS:
-        await accept(port)
+    peers: list[Toy] = []
+    toys = {str(port): Toy(f"toy on {port}", peers) for port in PORTS}
+    for port, toy in toys.items():
+        toy.telling = True
+        await toy.start(int(port))
     print(f"toy servers on {PORTS}; commands: hang PORT, cut PORT, heal PORT", flush=True)
     while line := await asyncio.to_thread(sys.stdin.readline):
         command, _, port = line.strip().partition(" ")
-        if command == "hang":
-            hanging.add(int(port))
-        elif command == "heal":
-            hanging.discard(int(port))
+        if (chosen := toys.get(port)) is None:
+            print("no such port", flush=True)
         elif command == "cut":
-            for writer in [w for w, p in connections.items() if p == int(port)]:
-                writer.transport.abort()
+            chosen.cut()
+        else:
+            chosen.hanging = command == "hang"
 
 
 asyncio.run(main())
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,369 @@
+"""Match rules in service: both fronts, a reload under load, an upgrade; the command line and the settings' forms."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import re
+import signal
+import subprocess
+import sys
+from collections.abc import AsyncIterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from standins import PATIENCE, ROOT, Discovery, GateServer, NatsServer, Relay, Standin, relay, run, until
+from test_line import first_line, front, line, opened
+from test_nats import Client
+
+from violetdoor import settings as forms
+from violetdoor.config import ConfigError, from_operator, operator_form, parsed
+from violetdoor.fronts.nats import fields as nats_fields
+from violetdoor.fronts.nats.frames import Frame
+from violetdoor.match.load import Loader
+from violetdoor.rules.schemas import schema_of
+
+CLASSES = [{"name": "booking", "aim_ms": 500, "deadline_ms": 3000}, {"name": "checkin", "aim_ms": 300, "deadline_ms": 1000}]
+
+
+def config(tmp_path: Path, rules: str, *servers: Standin, **changed: Any) -> Path:
+    """An operator's file with rules in a file beside it."""
+    (tmp_path / "club.rules").write_text(rules)
+    data = {"listen": "127.0.0.1:0", "console": "127.0.0.1:0", "retry_after_ms": 50, "classes": CLASSES,
+            "rules": {"file": "club.rules"}, "servers": [{"addr": s.address} for s in servers]} | changed  # fmt: skip
+    path = tmp_path / "relay.json"
+    path.write_text(json.dumps(data))
+    return path
+
+
+@contextlib.asynccontextmanager
+async def ruled(tmp_path: Path, rules: str, *servers: Standin, **changed: Any) -> AsyncIterator[Relay]:
+    async with contextlib.AsyncExitStack() as stack:
+        for server in servers:
+            await stack.enter_async_context(server)
+        path = config(tmp_path, rules, *servers, **changed)
+        yield await stack.enter_async_context(relay("--config", str(path), TMPDIR=str(tmp_path)))
+
+
+async def applied(it: Relay, tmp_path: Path, rules: str, figure: str = "config_applied") -> None:
+    """Change the rules' file, tell the relay, wait until it has taken or refused them."""
+    before = (await it.figures())[figure]
+    (tmp_path / "club.rules").write_text(rules)
+    it.process.send_signal(signal.SIGHUP)
+    async with asyncio.timeout(PATIENCE):
+        while (await it.figures())[figure] == before:
+            await asyncio.sleep(0.01)
+
+
+async def hits(it: Relay) -> dict[str, int]:
+    status, text = await it.call("GET /rules")
+    assert status == 200
+    return {name: int(n) for name, n in re.findall(r"^(?:hits )?(.+): (\d+)$", text, re.M)}
+
+
+def test_nats_clients_are_what_the_rules_say(tmp_path: Path) -> None:
+    """By user, by first subject and header where known, by address; refused with a reason; else by the default."""
+    rules = """
+    rule "old" when connect.version starts_with "0." { refuse "too old, \\"upgrade\\""; }
+    rule "subject" when first.subject fits "booking.>" { class = "booking"; label by = "subject"; }
+    rule "header" when first.headers["Kind"] == "b" and peer.address in home { class = "booking"; pool = "fast"; }
+    rule "user" when connect.user in ["app", "phone"] { class = "booking"; tenant = connect.user ?? ""; }
+    set home = prefixes { "127.0.0.0/8" };
+    default { class = "checkin"; }
+    """
+
+    async def test() -> None:
+        server = NatsServer()
+        async with ruled(tmp_path, rules, server) as it:
+            old = Client(*await it.open())
+            assert (await old.line()).startswith(b"INFO")
+            old.send(b'CONNECT {"version":"0.9"}')
+            assert await old.line() == b"-ERR 'too old, ?upgrade?'"
+            for first in (b"SUB booking.a.b 1", b"PING\r\nSUB booking.x 1"):
+                by_subject = Client(*await it.open())
+                await by_subject.line()
+                by_subject.send(b'CONNECT {"verbose":false,"headers":true}', first)
+                await by_subject.flush()
+            header = Client(*await it.open())
+            await header.line()
+            header.send(b'CONNECT {"verbose":false,"headers":true}')
+            header.send(b"HPUB a 21 23", b"NATS/1.0\r\nKind: b\r\n\r\nhi")
+            await header.flush()
+            user = await Client.connect(it, user="app")
+            await user.flush()
+            # What is no UTF-8, too long, or of a wrong type counts as missing.
+            odd = await Client.connect(it, user="x" * 300, name=7, lang=None)
+            odd.send(b"SUB \xff\xfe 1")
+            await odd.flush()
+            assert await hits(it) == {"old": 1, "subject": 2, "header": 1, "user": 1, "default": 1,
+                                      "label by=subject": 2, "pool fast": 1}  # fmt: skip
+            figures = await it.figures()
+            assert figures["ok.booking"] == 4 and figures["ok.checkin"] == 1
+            assert (await it.counters())["ruled_out"] == 1
+
+    run(test)
+
+
+def test_line_requests_are_what_the_rules_say(tmp_path: Path) -> None:
+    """Class and tenant by rule, the line itself unchanged; a refusal; a name that the site lacks falls to the default."""
+    rules = """
+    rule "blocked" when open.tenant == "gone" { refuse "no partner any more"; }
+    rule "extra" when open.extra["vip"] == "1" { class = "booking"; group = hash(open.group ?? "", 8); }
+    rule "as said" when open.tenant == "raw" { class = open.class ?? "checkin"; }
+    default { class = "checkin"; }
+    """
+
+    async def test() -> None:
+        server = GateServer()
+        async with ruled(tmp_path, rules, server, front="line") as it:
+            for values, answer in ((b"c=any,t=gone,d=900", b"ERR no partner any more\r\n"),
+                                   (b"c=any,t=acme,vip=1,g=5c0f,d=2500", b"UP r1\r\n"),
+                                   (b"c=any,t=acme,d=900", b"UP r1\r\n"), (b"t=raw,c=nosuch,d=900", b"UP r1\r\n"),
+                                   (b"c=any,t=acme,d=29000", b"ERR\r\n")):  # fmt: skip
+                reader, _ = await opened(it, values)
+                assert await line(reader) == answer, values
+            assert server.opened[0].endswith(b"c=any,t=acme,vip=1,g=5c0f,d=" + server.opened[0].rpartition(b"=")[2])
+            figures = await it.figures()
+            assert figures["ok.booking"] == 1 and figures["ok.checkin"] == 2
+            counts = await it.counters()
+            assert counts["rules_failed"] == 1 and it.logged("unknown class 'nosuch'") == 1
+
+    run(test)
+
+
+def test_a_reload_under_load_swaps_a_whole_set_or_none(tmp_path: Path) -> None:
+    """While 200 requests wait for their servers: they keep what they were given, new ones get the new set."""
+
+    def rules(cls: str, extra: str = "") -> str:
+        many = "".join(f'rule "r{n}" when open.tenant == "t{n}" {{ class = "checkin"; }}\n' for n in range(300))
+        return f'{many}rule "all" when open.tenant == "acme" {{ class = "{cls}"; }}\n{extra}default {{}}\n'
+
+    async def test() -> None:
+        server = GateServer(first=b"")
+        async with ruled(tmp_path, rules("booking"), server, front="line") as it:
+            waiting = [await opened(it, b"c=checkin,t=acme,d=9000") for _ in range(200)]
+            await until(lambda: len(server.opened) > 0)
+            while await hits(it) != {"all": 200}:
+                await asyncio.sleep(0.01)
+            for bad in (rules("nosuch"), rules("booking", "rule x {\n"), 'rule "r" when open.tenant', ""):
+                await applied(it, tmp_path, bad, "config_rejected")
+            assert it.logged("unknown class 'nosuch'") and await hits(it) == {"all": 200}
+            await applied(it, tmp_path, rules("checkin"))
+            assert await hits(it) == {}
+            server.first = b"UP r1\r\n"
+            later, _ = await opened(it, b"c=booking,t=acme,d=900")
+            assert await line(later) == b"UP r1\r\n"
+            figures = await it.figures()
+            assert figures["ok.checkin"] == 1 and figures["tries.checkin"] >= 1
+            for writer in server.writers:
+                writer.write(b"UP r1\r\n")
+            answers = await asyncio.gather(*(line(reader) for reader, _ in waiting))
+            figures = await it.figures()
+            assert len(answers) == 200 and figures["ok.checkin"] == 1
+            assert figures["ok.booking"] + figures["shed.booking"] + figures["errors.booking"] == 200
+
+    run(test)
+
+
+def test_the_process_that_takes_over_starts_with_the_set_in_force(tmp_path: Path) -> None:
+    """Also with a set's file that is gone; and a reload at the one reaches the other."""
+    rules = 'set known = strings from "known.txt";\nrule "known" when connect.user in known { class = "booking"; }\n'
+    rules += 'default { class = "checkin"; }'
+
+    async def test() -> None:
+        (tmp_path / "known.txt").write_text("app\n")
+        server = NatsServer()
+        async with ruled(tmp_path, rules, server) as old:
+            (tmp_path / "known.txt").unlink()
+            (tmp_path / "club.rules").write_text("broken")
+            async with relay("--config", str(tmp_path / "relay.json"), TMPDIR=str(tmp_path)) as new:
+                assert new.logged("took over from the process before")
+                client = await Client.connect(new, user="app")
+                await client.flush()
+                assert await hits(new) == {"known": 1}
+                await applied(old, tmp_path, 'rule "new" when connect.user == "app" { class = "booking"; }\ndefault {}')
+                async with asyncio.timeout(PATIENCE):
+                    while "hits known" in (await new.call("GET /rules"))[1]:
+                        await asyncio.sleep(0.01)
+                client = await Client.connect(new, user="app")
+                await client.flush()
+                assert await hits(new) == {"new": 1}
+
+    run(test)
+
+
+def test_a_plain_run_imports_no_library_beside_its_four(tmp_path: Path) -> None:
+    """What serves the platform's clients needs no rules, no command line and no second front."""
+
+    async def test() -> None:
+        async with (
+            GateServer() as server, Discovery(server) as discovery,
+            front(tmp_path, discovery, PYTHONPROFILEIMPORTTIME="1") as it,
+        ):  # fmt: skip
+            reader, _ = await opened(it)
+            assert await line(reader) == b"UP r1\r\n"
+            await it.counters()
+            names = {text.rpartition("|")[2].strip() for text in it.lines if text.startswith("import time:")}
+            tops = {name.partition(".")[0] for name in names}
+            from importlib.metadata import packages_distributions
+
+            libraries = {"uvloop", "orjson", "msgspec", "typing_extensions", "httptools"}  # the fourth is msgspec's
+            assert {n for n in tops & packages_distributions().keys() if n[0] != "_"} == libraries
+            ours = {n for n in names if n.startswith("violetdoor.")}
+            assert not [n for n in ours if n.split(".")[1] in ("match", "rules", "cli", "places") or "nats" in n]
+            assert not names & {"argparse", "tomllib", "secrets"}
+
+    run(test)
+
+
+# The command line and the settings.
+
+
+def command(*args: str, text: str = "") -> subprocess.CompletedProcess[str]:
+    return subprocess.run([sys.executable, "-m", "violetdoor", *args], input=text, capture_output=True, text=True,
+                          cwd=ROOT, check=False, timeout=60)  # fmt: skip
+
+
+CLUBS = ["examples/rules/clubs.rules", "examples/rules/clubs.cases.toml"]
+
+
+def test_rules_are_checked_explained_tried_and_measured(tmp_path: Path) -> None:
+    done = command("rules", "check", CLUBS[0])
+    assert done.returncode == 0 and "5 rules, up to" in done.stdout
+    done = command("rules", "test", *CLUBS)
+    assert done.returncode == 0 and done.stdout == "5 passed, 0 failed\n"
+    cases = tmp_path / "cases.toml"
+    cases.write_text('[[cases]]\nname = "n"\nrequest = { "connect.user" = "a" }\nexpect = { class = "vip" }\n')
+    done = command("rules", "test", CLUBS[0], str(cases))
+    assert done.returncode == 1 and "n: class: found 'checkin', expected 'vip'" in done.stdout
+    done = command("rules", "explain", CLUBS[0], '{"connect": {"user": "sohar-strong.turnstile.1"}}')
+    assert "'turnstiles stay in their branches' decides" in done.stdout
+    assert "(connect.lang is missing" in done.stdout and "refuse 'no turnstile is there'" in done.stdout
+    done = command("rules", "explain", "--json", CLUBS[0], '{"connect.user": "a.app.1"}')
+    told = json.loads(done.stdout)
+    assert told["verdict"]["rule"] == "default" and len(told["steps"]) == 6
+    assert command("rules", "explain", CLUBS[0], '{"connect.usr": 1}').returncode == 2
+    done = command("rules", "bench", "--rounds", "20", *CLUBS)
+    assert done.returncode == 0 and done.stdout.startswith("100 decisions: p50 ")
+    assert command("nosuch").returncode == 2 and command("--help").returncode == 0
+
+
+BAD = """listen = "127.0.0.1:0"
+front = "natss"
+discovery = "127.0.0.1:1"
+[nats]
+silnce = 1
+max_payload = -1
+[[classes]]
+name = "booking"
+aim_ms = "x"
+deadline_ms = 100
+[[classes]]
+name = "checkin"
+aim_ms = 5
+"""
+
+
+def test_a_configuration_is_checked_whole_in_both_forms(tmp_path: Path) -> None:
+    path = tmp_path / "bad.toml"
+    path.write_text(BAD)
+    done = command("config", "check", str(path))
+    assert done.returncode == 2 and done.stderr.replace(str(path), "F").splitlines() == [
+        "F:2:9: front: found 'natss', expected 'nats' or 'line'",
+        "F:5:10: nats.silnce: unknown name 'silnce'; did you mean 'silence'?",
+        "F:6:15: nats.max_payload: found -1, expected int >= 1",
+        "F:9:10: classes[0].aim_ms: found 'x', expected float",
+        "F:11:1: classes[1]: 'deadline_ms' is missing",
+    ]  # fmt: skip
+    text = tmp_path / "bad.json"
+    text.write_text('{\n "listen": "127.0.0.1:0",\n "classes": [\n  {"name": "", "aim_ms": 1, "deadline_ms": 2}\n ]\n}')
+    done = command("config", "check", str(text))
+    assert done.stderr.endswith("bad.json:4:12: classes[0].name: found '', expected str of length >= 1\n")
+    (tmp_path / "cut.json").write_text('{"listen": ')
+    assert "line 1 column" in command("config", "check", str(tmp_path / "cut.json")).stderr
+    bad_rules = config(tmp_path, 'rule "r" when connect.user == 1 {}\nrule "q" when nobody {}\ndefault {}')
+    data = json.loads(bad_rules.read_text()) | {"discovery": "127.0.0.1:1", "servers": []}
+    bad_rules.write_text(json.dumps(data))
+    done = command("config", "check", str(bad_rules))
+    assert [x.partition("club.rules:")[2].partition(" found")[0] for x in done.stderr.splitlines()] == ["1:31:", "2:15:"]
+    for good in ("deploy/nats.toml", "examples/nats.toml", "deploy/rules.toml"):
+        assert command("config", "check", good).returncode == 0, good
+    schema = json.loads(command("config", "schema").stdout)
+    assert schema["$defs"]["Operator"]["required"] == ["listen", "classes"]
+
+
+def test_json_and_toml_give_the_same_configuration(tmp_path: Path) -> None:
+    toml = ROOT / "deploy" / "nats.toml"
+    text = tmp_path / "same.json"
+    text.write_text(json.dumps(parsed(toml)))
+    one, other = from_operator(toml), from_operator(text)
+    assert (one.settings, one.nats, one.known, one.deadlines) == (other.settings, other.nats, other.known, other.deadlines)
+
+
+@given(st.recursive(st.none() | st.booleans() | st.integers() | st.floats(allow_nan=False) | st.text(max_size=8),
+                    lambda v: st.lists(v, max_size=3) | st.dictionaries(
+                        st.sampled_from(["listen", "classes", "name", "aim_ms", "nats", "servers", "addr", "rules", "x"]), v,
+                        max_size=4), max_leaves=12))  # fmt: skip
+def test_any_data_gives_a_form_or_faults(data: Any) -> None:
+    form, found = operator_form(data)
+    assert (form is None) == bool(found) and all(f.what for f in found)
+    assert isinstance(forms.faults(forms.Platform, data), list)
+
+
+@given(st.binary(max_size=300), st.dictionaries(st.sampled_from(["user", "name", "lang", "version", "verbose"]),
+                                                st.none() | st.integers() | st.text(max_size=300)))  # fmt: skip
+def test_what_a_client_sends_keeps_the_bounds_of_its_fields(raw: bytes, connect: dict[str, Any]) -> None:
+    """Guards against a client that makes the rules cost more than their bound."""
+    frame = Frame("HPUB", (raw, b"1", b"2"), raw, b"NATS/1.0\r\n" + raw)
+    request = nats_fields.request(connect, frame, ("::1%eth0", 1))
+    for value, field in zip(request, nats_fields.SCHEMA.fields.values(), strict=True):
+        held = [*value, *value.values()] if isinstance(value, dict) else [value] if isinstance(value, str) else []
+        assert all(len(v.encode()) <= field.size for v in held)
+        assert not isinstance(value, dict) or len(value) <= field.most
+
+
+def test_the_reference_page_is_true() -> None:
+    """Each example of the page loads, and gives what the page says."""
+    page = (ROOT / "docs" / "operators" / "rules.md").read_text()
+    blocks = re.findall(r"```rules (\w+)\n(.*?)```", page, re.S)
+    assert len(blocks) >= 3
+    for name, text in blocks:
+        Loader(schema_of(name)).load(text if "default" in text else text + "\ndefault {}")
+    rows = re.findall(r"^\| `(.+?)` \| `(.+?)` \|", page, re.M)
+    assert len(rows) >= 40
+    for expression, expected in rows:
+        plain = [part.replace("\\|", "|") for part in (expression, expected)]
+        text = f'rule "r" when ({plain[0]}) == ({plain[1]}) {{}}\ndefault {{}}'
+        if plain[1] in ("true", "false"):
+            text = f'rule "r" when {"" if plain[1] == "true" else "not "}({plain[0]}) and peer.port >= 0 {{}}\ndefault {{}}'
+        rules = Loader(schema_of("line"), limit_us=1e6).load(text).ready()
+        request = [bytes([10, 1, 2, 3]), 4000, "9b1f", "7f3a", "booking", "acme.north", None, 12.5, 2_000_000, False, True,
+                   {"site": "muscat-7"}]  # fmt: skip
+        assert rules.decide(tuple(request)).rule == "r", expression
+
+
+def test_operators_files_that_cannot_be_worked_by_are_refused(tmp_path: Path) -> None:
+    base = {"listen": "127.0.0.1:1", "classes": CLASSES, "servers": [{"addr": "127.0.0.1:2"}]}
+    for changed, expected in (
+        ({"tenants": [{"name": "a", "class": "vip"}]}, "unknown class 'vip'"), ({"servers": []}, "either discovery or"),
+        ({"rules": {"text": "a", "file": "b"}, "tenants": []}, "either file or text"), ({}, "'tenants' is missing"),
+        ({"classes": [CLASSES[0], CLASSES[0]]}, "a second time"), ({"listen": "a:70000"}, "expected host:port"),
+        ({"front": "line", "tenants": [{"name": "a", "class": "booking"}]}, "line.tenants"),
+        ({"rules": {"file": "none.rules"}}, "none.rules: No such file"),
+    ):  # fmt: skip
+        path = tmp_path / "c.json"
+        path.write_text(json.dumps(base | changed))
+        with pytest.raises(ConfigError, match=re.escape(expected)):
+            from_operator(path)
+
+
+def test_a_child_that_compiles_gives_each_fault_a_line() -> None:
+    order = {"front": "nats", "text": "rule", "file": "f", "folder": ".", "classes": [], "limit_us": 250.0}
+    done = subprocess.run([sys.executable, "-m", "violetdoor.rules.worker"], input=json.dumps(order).encode(),
+                          capture_output=True, check=False, timeout=60)  # fmt: skip
+    assert done.returncode == 2 and b"f:1:" in done.stderr and b"Traceback" not in done.stderr
+    assert first_line(b"")
--- /dev/null
+++ b/violetdoor/cli/__init__.py
@@ -0,0 +1,22 @@
+"""The command line: what an operator asks for beside serving."""
+
+from __future__ import annotations
+
+
+def run(args: list[str]) -> int:
+    """Carry out one command; its exit status.
+
+    0 done, 1 the answer is no, 2 wrong use or input that does not read.
+    """
+    import click
+
+    from violetdoor.cli.commands import cli
+
+    try:
+        result = cli.main(args, prog_name="violetdoor", standalone_mode=False)
+    except click.ClickException as err:
+        err.show()
+        return 2
+    except (click.Abort, KeyboardInterrupt):
+        return 2
+    return result if isinstance(result, int) else 0
--- a/violetdoor/config.py
+++ b/violetdoor/config.py
@@ -1,26 +1,31 @@
 """The configuration, read once into the few values that the program uses.
 
-The platform tells a relay by its environment and a JSON file; an operator of the NATS front by a TOML file.
+The platform tells a relay by its environment and a JSON file; an operator by a TOML or JSON file. The forms
+of both stand in `settings`.
 """
 
 from __future__ import annotations
 
 import os
-import secrets
+import random
 import socket
-import tomllib
-from collections.abc import Mapping
-from dataclasses import dataclass, fields, replace
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
+import msgspec
 import orjson
 
 from lynxdeck import interface as i
 from lynxdeck.wirehost import settings_from
-from violetdoor.fronts.nats.front import NatsOptions
+from violetdoor import settings as forms
 from violetdoor.net.sockets import Address, parse_address
 
+if TYPE_CHECKING:  # the platform's relay has neither in its memory
+    from violetdoor.fronts.nats.front import NatsOptions
+    from violetdoor.rules.source import RulesSource
+
 
 class ConfigError(Exception):
     """The configuration does not read; the text says why in one line."""
@@ -41,9 +46,11 @@
     deadlines: dict[str, float]
     tells_delay: bool
     tenants: frozenset[str]  # of the line front; none: any
-    raw: bytes = b""  # the platform's settings as they were read, for the process that takes over
+    raw: bytes = b""  # the settings as they were read, for the process that takes over
+    platform: bool = True  # told by the platform, not by an operator's file
     console: Address | None = None  # where operators call; none: nowhere
     nats: NatsOptions | None = None  # none: the front is that of the line protocol
+    rules: RulesSource | None = None  # none: requests are what they say they are
 
     def fixed_changes(self, new: Config) -> list[str]:
         """What is different in a newer configuration and takes a restart."""
@@ -54,14 +61,39 @@
         return changed
 
 
+def parsed(path: Path) -> dict[str, Any]:
+    """An operator's file as data; ConfigError names the place where it does not read."""
+    try:
+        text = path.read_text()
+        data = orjson.loads(text) if is_json(path, text) else _toml(text)
+    except OSError as err:
+        raise ConfigError(f"{path}: {err.strerror}") from err
+    except ValueError as err:  # both parsers name line and column
+        raise ConfigError(f"{path}: {err}") from err
+    if not isinstance(data, dict):
+        raise ConfigError(f"{path}: the file is no object")
+    return data
+
+
+def _toml(text: str) -> dict[str, Any]:
+    import tomllib
+
+    return tomllib.loads(text)
+
+
+def is_json(path: Path, text: str) -> bool:
+    """Whether an operator's file is JSON, by its name or its first character."""
+    return path.suffix == ".json" or text.lstrip()[:1] == "{"
+
+
 def listen_text(path: Path | None) -> str:
     """The address that clients connect to, as it is written; nothing if it can't be read."""
     try:
         if path is not None:
-            return str(tomllib.loads(path.read_text())["listen"])
+            return str(parsed(path)["listen"])
         told = os.environ.get("BALANCER_LISTEN")
         return told or str(orjson.loads(Path(os.environ["BALANCER_CONFIG"]).read_bytes())["listen"])
-    except (OSError, ValueError, KeyError, TypeError):
+    except (OSError, ValueError, KeyError, TypeError, ConfigError):
         return ""
 
 
@@ -80,47 +112,43 @@
         raise ConfigError("BALANCER_CONFIG names no file and no --config was given") from err
     try:
         data = _with_inherited(Path(path), inherited)
-        facts = data["settings"]
-        _check(facts)
-        settings = settings_from(facts)
+        form = msgspec.convert(data, forms.Platform)
+        facts, told = form.settings, None if again or inherited else os.environ.get("BALANCER_DISCOVERY")
+        settings = settings_from(data["settings"])
         # Guards against servers that look sound until they drop their clients: where nothing reports load,
         # echoes tell nothing of it either, unlike the simulator's notes. The time that a probe takes does.
-        probes = bool(facts.get("policyLimits", {}).get("probes"))
-        told = None if again or inherited else os.environ.get("BALANCER_DISCOVERY")
-        console = os.environ.get("BALANCER_CONSOLE") or data.get("console")
+        probes = bool(facts.policyLimits.probes)
+        console = os.environ.get("BALANCER_CONSOLE") or form.console
         return Config(
             name=os.environ.get("BALANCER_NAME") or data["name"],
             listen=parse_address(os.environ.get("BALANCER_LISTEN") or data["listen"]),
             discovery=parse_address(told or data["discovery"]),
-            seed=int(str(data.get("seed", "0")), 16),
+            seed=int(str(form.seed), 16),
             settings=replace(settings, probe_times=probes and not settings.probes),
-            known=data.get("known") or {},
-            sockets=int(data.get("limits", {}).get("sockets", 1024)),
-            connect_timeout=facts.get("policyLimits", {}).get("connectTimeout", 200.0) / 1000,
-            deadlines={c["name"]: float(c["hardLimit"]) for c in facts["classes"]},
-            tenants=frozenset(str(a["name"]) for a in facts.get("accounts") or ()),
-            tells_delay=bool(facts.get("familyInfo", {}).get("tellsDelay")),
+            known=form.known or {},
+            sockets=form.limits.sockets,
+            connect_timeout=facts.policyLimits.connectTimeout / 1000,
+            deadlines={c.name: c.hardLimit for c in facts.classes},
+            tenants=frozenset(a.name for a in facts.accounts or ()),
+            tells_delay=bool(facts.familyInfo.tellsDelay),
             console=parse_address(console) if console else None,
             raw=orjson.dumps(data | {"discovery": told or data["discovery"]}),
         )
     except OSError as err:
         raise ConfigError(f"{path}: {err.strerror}") from err
-    except (ValueError, KeyError, TypeError, AttributeError) as err:
+    except msgspec.ValidationError as err:
+        raise ConfigError(f"{path}: {_one_line(forms.faults(forms.Platform, data)) or err}") from err
+    except KeyError as err:
+        raise ConfigError(f"{path}: {err.args[0]!r} is missing") from err
+    except (ValueError, TypeError, AttributeError) as err:
         raise ConfigError(f"{path}: {type(err).__name__} {err}") from err
 
 
-def _check(facts: dict[str, Any]) -> None:
-    """See that the settings can be worked by; guards against a file that reads and is wrong all the same."""
-    if not facts["classes"]:
-        raise ValueError("no classes")
-    for c in facts["classes"]:
-        if not isinstance(c["name"], str) or not c["name"]:
-            raise ValueError("a class without a name")
-        for name in ("goalTime", "hardLimit"):
-            _positive(c[name], f"{name} of class {c['name']!r}")
-    limits = facts["policyLimits"]
-    _positive(limits["sendCap"], "sendCap")
-    _positive(limits.get("connectTimeout", 200.0), "connectTimeout")
+def _one_line(found: Iterable[Any]) -> str:
+    """The first faults in one line."""
+    held = list(found)
+    more = [f"and {len(held) - 3} more"] if len(held) > 3 else []
+    return "; ".join([*map(str, held[:3]), *more])
 
 
 def lacks(old: Any, new: Any, where: str = "the file") -> str:
@@ -155,93 +183,129 @@
     return held | {name: data[name] for name in OWN if name in data} if inherited else data
 
 
-TOP = {"name", "listen", "console", "discovery", "zone", "relays", "sockets", "attempts", "retry_after_ms",
-       "nats", "classes", "tenants", "servers"}  # fmt: skip
-CLASS = {"name", "worth", "aim_ms", "deadline_ms", "message_aim_ms"}
-TENANT = {"name", "class", "users"}
-SERVER = {"id", "addr", "zone", "kind", "cell", "weight"}
-OPTIONS = {f.name for f in fields(NatsOptions)} - {"tenants"}
 ASK_WITHIN = 10_000.0  # ms within which a failed discovery call is followed by another
 
 
-def from_operator(path: Path) -> Config:
-    """Read an operator's file for the NATS front."""
+def from_operator(path: Path, again: bool = False, inherited: bytes = b"") -> Config:
+    """Read an operator's file.
+
+    What a predecessor had in force outranks it but for what is each process's own.
+    """
+    data: dict[str, Any] = {}
     try:
-        data = tomllib.loads(path.read_text())
-        return _operator(data)
-    except OSError as err:
-        raise ConfigError(f"{path}: {err.strerror}") from err
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as err:
-        raise ConfigError(f"{path}: {err}") from err
-    except KeyError as err:
-        raise ConfigError(f"{path}: {err.args[0]!r} is missing") from err
-    except (ValueError, TypeError, AttributeError) as err:
-        raise ConfigError(f"{path}: {err}") from err
+        data = parsed(path)
+    except ConfigError:
+        if not inherited:
+            raise
+    if inherited:
+        data = orjson.loads(inherited) | {name: data[name] for name in OWN if name in data}
+    form, found = operator_form(data)
+    if form is None:
+        lines = placed(path, found, with_places=not again)
+        raise ConfigError(_one_line(lines))
+    return operator_config(form, data, path)
+
+
+def operator_form(data: dict[str, Any]) -> tuple[forms.Operator | None, list[forms.Fault]]:
+    """An operator's file in its form, or all its faults."""
+    try:
+        form = msgspec.convert(data, forms.Operator)
+    except msgspec.ValidationError as err:
+        return None, forms.faults(forms.Operator, data) or [forms.Fault((), str(err))]
+    found = list(forms.cross_faults(form))
+    return (None if found else form), found
+
+
+def placed(path: Path, found: Iterable[forms.Fault], with_places: bool = True) -> list[str]:
+    """Each fault with its file, and with line and column where the file can be looked through for them."""
+    if not with_places:
+        return [f"{path}: {fault}" for fault in found]
+    from violetdoor import places  # a parser of its own: only where the process is about to end
+
+    try:
+        text = path.read_text()
+    except (OSError, ValueError):
+        return placed(path, found, with_places=False)
+    held = places.find(text, is_json(path, text))
+    lines = {fault: places.nearest(held, fault.path) for fault in found}
+    ordered = sorted(lines.items(), key=lambda found: found[1])
+    return [f"{path}:{line}:{column}: {fault}" for fault, (line, column) in ordered]
 
 
-def _known_keys(table: Mapping[str, Any], allowed: set[str], where: str) -> None:
-    if not isinstance(table, dict):
-        raise TypeError(f"{where} is no table")
-    if unknown := sorted(set(table) - allowed):
-        raise ValueError(f"{where} has the unknown key {unknown[0]!r}")
-
-
-def _positive(value: Any, where: str) -> float:
-    if isinstance(value, bool) or not isinstance(value, (int, float)) or not value > 0:
-        raise ValueError(f"{where} is not a number above 0")
-    return float(value)
-
-
-def _operator(data: dict[str, Any]) -> Config:
-    _known_keys(data, TOP, "the file")
-    deadlines, classes = {}, []
-    for c in data["classes"]:
-        _known_keys(c, CLASS, "a class")
-        name, aim = c["name"], _positive(c["aim_ms"], "aim_ms")
-        deadlines[name] = _positive(c["deadline_ms"], "deadline_ms")
-        classes.append({"name": name, "goalTime": aim, "worth": _positive(c.get("worth", 1.0), "worth")})
-    aims = [_positive(c.get("message_aim_ms", c["aim_ms"]), "message_aim_ms") for c in data["classes"]]
-    tenants: dict[str, tuple[str, str]] = {}
-    for t in data["tenants"]:
-        _known_keys(t, TENANT, "a tenant")
-        if t["class"] not in deadlines:
-            raise ValueError(f"tenant {t['name']!r} has the unknown class {t['class']!r}")
-        tenants.update({user: (t["name"], t["class"]) for user in t["users"]})
-    servers = data.get("servers", [])
-    for line in servers:
-        _known_keys(line, SERVER, "a server")
-        parse_address(line["addr"])
-        _positive(line.get("weight", 1.0), "weight")
-    if ("discovery" in data) == bool(servers):
-        raise ValueError("either discovery or servers is wanted")
-    zone = data.get("zone", "")
+def operator_config(o: forms.Operator, data: dict[str, Any], path: Path) -> Config:
+    """The program's values out of an operator's file."""
+    classes = [{"name": c.name, "goalTime": c.aim_ms, "worth": c.worth} for c in o.classes]
     facts = {
-        "classes": classes, "familyInfo": {"messageAim": aims}, "locality": zone,
-        "balancers": int(_positive(data.get("relays", 1), "relays")),
-        "discovery": "on_request" if "discovery" in data else "pushed",
-        "policyLimits": {"sendCap": int(_positive(data.get("attempts", 3), "attempts")), "retryAfter": True,
-                         "maxRetryAfter": _positive(data.get("retry_after_ms", 1500.0), "retry_after_ms")},
+        "classes": classes, "familyInfo": {"messageAim": [c.message_aim_ms or c.aim_ms for c in o.classes]},
+        "locality": o.zone, "balancers": o.relays, "discovery": "on_request" if o.discovery else "pushed",
+        "policyLimits": {"sendCap": o.attempts, "retryAfter": True, "maxRetryAfter": o.retry_after_ms},
         "rules": {"askWithin": ASK_WITHIN}, "report": {"how": "none"},
     }  # fmt: skip
-    nats = data.get("nats", {})
-    _known_keys(nats, OPTIONS, "nats")
-    whole = {f.name for f in fields(NatsOptions) if f.type == "int"}
-    values = {k: _positive(v, f"nats.{k}") for k, v in nats.items()}
-    typed: dict[str, Any] = {k: int(v) if k in whole else v for k, v in values.items()}
-    options = NatsOptions(tenants=tenants, **typed)
-    lines = [{"zone": zone, "id": s.get("id", s["addr"]), **s} for s in servers]
+    rows = [
+        {"zone": o.zone, "id": s.addr, "kind": "", "cell": 0}
+        | {k: v for k, v in msgspec.to_builtins(s).items() if v is not None}
+        for s in o.servers
+    ]
+    nats = None
+    if o.front == "nats":
+        from violetdoor.fronts.nats.front import NatsOptions
+
+        users = {user: (t.name, t.cls) for t in o.tenants for user in t.users}
+        nats = NatsOptions(tenants=users, **msgspec.structs.asdict(o.nats))
     return Config(
-        name=data.get("name") or socket.gethostname(),
-        listen=parse_address(data["listen"]),
-        discovery=parse_address(data["discovery"]) if "discovery" in data else None,
-        seed=secrets.randbits(64),
+        name=o.name or socket.gethostname(),
+        listen=parse_address(o.listen),
+        discovery=parse_address(o.discovery) if o.discovery else None,
+        seed=random.SystemRandom().getrandbits(64),
         settings=settings_from(facts),
-        known={"version": 0, "full": True, "servers": lines},
-        sockets=int(_positive(data.get("sockets", 1024), "sockets")),
-        connect_timeout=options.connect_timeout,
-        deadlines=deadlines,
+        known={"version": 0, "full": True, "servers": rows},
+        sockets=o.sockets,
+        connect_timeout=o.nats.connect_timeout if nats else o.line.connect_timeout,
+        deadlines={c.name: c.deadline_ms for c in o.classes},
         tells_delay=True,
-        tenants=frozenset(),
-        console=parse_address(data["console"]) if "console" in data else None,
-        nats=options,
+        tenants=frozenset(o.line.tenants),
+        console=parse_address(o.console) if o.console else None,
+        raw=orjson.dumps(data),
+        platform=False,
+        nats=nats,
+        rules=_rules(o, path) if o.rules else None,
+    )
+
+
+def _rules(o: forms.Operator, path: Path) -> RulesSource:
+    """The text of the rules, and where it begins."""
+    from violetdoor.rules.source import RulesSource
+
+    rules = o.rules
+    assert rules is not None
+    file, line, column, text = path, 1, 1, rules.text or ""
+    if rules.file is not None:
+        file = Path(path.parent, rules.file)
+        try:
+            text = file.read_text()
+        except OSError as err:
+            raise ConfigError(f"{file}: {err.strerror}") from err
+        except ValueError as err:
+            raise ConfigError(f"{file}: {err}") from err
+    else:
+        try:
+            whole = path.read_text()
+        except (OSError, ValueError):  # the predecessor's rules need no file here
+            whole = ""
+        if (start := whole.find(text)) >= 0:
+            line = whole.count("\n", 0, start) + 1
+            column = start - whole.rfind("\n", 0, start)
+    classes = tuple(c.name for c in o.classes)
+    return RulesSource(
+        o.front, text, str(file), str(path.parent), classes, rules.limit_us, line, column, rules.files or {}
     )
+
+
+def with_rules(config: Config, source: RulesSource) -> Config:
+    """The configuration whose raw form holds the rules' text and the sets' files.
+
+    A successor reads no file.
+    """
+    data = orjson.loads(config.raw)
+    data["rules"] = {"text": source.text, "limit_us": source.limit_us, "files": dict(source.files)}
+    return replace(config, rules=source, raw=orjson.dumps(data))
--- a/violetdoor/console/calls.py
+++ b/violetdoor/console/calls.py
@@ -17,8 +17,11 @@
 class Calls:
     """Answers a call by its method and path."""
 
-    def __init__(self, healthy: Callable[[], bool], figures: Figures, maintenance: Maintenance) -> None:
-        self.healthy, self.figures, self.maintenance = healthy, figures, maintenance
+    def __init__(
+        self, healthy: Callable[[], bool], figures: Figures, maintenance: Maintenance,
+        rules: Callable[[], str] | None = None,
+    ) -> None:  # fmt: skip
+        self.healthy, self.figures, self.maintenance, self.rules = healthy, figures, maintenance, rules
 
     def __call__(self, method: str, path: str) -> Answer:
         """Carry out one call."""
@@ -29,6 +32,8 @@
                 return HTTPStatus.SERVICE_UNAVAILABLE, "takes no clients\n"
             case "GET", ["stats"]:
                 return HTTPStatus.OK, self.figures.text()
+            case "GET", ["rules"] if self.rules is not None:
+                return HTTPStatus.OK, self.rules()
             case "PUT", ["gate-servers", server, "maint" | "ready" as what]:
                 out, server = what == "maint", unquote(server)
                 known = self.maintenance.leave_out(server) if out else self.maintenance.put_back(server)
@@ -36,6 +41,6 @@
                     return HTTPStatus.NOT_FOUND, "no list has named this server\n"
                 log.info("server %s is %s by hand", server, "left out" if out else "put back")
                 return HTTPStatus.OK, "left out\n" if out else "put back\n"
-            case _, ["healthcheck" | "stats"] | ["gate-servers", _, "maint" | "ready"]:
+            case _, ["healthcheck" | "stats" | "rules"] | ["gate-servers", _, "maint" | "ready"]:
                 return HTTPStatus.METHOD_NOT_ALLOWED, "another method is wanted\n"
         return HTTPStatus.NOT_FOUND, "no such call\n"
--- a/violetdoor/fronts/line/front.py
+++ b/violetdoor/fronts/line/front.py
@@ -7,16 +7,21 @@
 import socket
 from collections import OrderedDict, deque
 from collections.abc import Iterable
+from typing import TYPE_CHECKING
 
 from lynxdeck import interface as i
 from violetdoor.core import Controller
 from violetdoor.core.spread import due
+from violetdoor.fronts.line.opening import TIMES_DEADLINE, Opening, RuledOutError, SyntaxFaultError, known
 from violetdoor.fronts.line.session import Session
 from violetdoor.net.acceptor import Acceptor
 from violetdoor.net.counters import Counters
 from violetdoor.net.discovery import Directory
 from violetdoor.net.figures import Figures
-from violetdoor.net.sockets import Address, LineSocket, LineTooLongError, connect, send_parts
+from violetdoor.net.sockets import Address, LineSocket, LineTooLongError, connect, plain, send_parts
+
+if TYPE_CHECKING:
+    from violetdoor.rules.force import Rules
 
 log = logging.getLogger("violetdoor.line")
 
@@ -43,9 +48,10 @@
     def __init__(
         self, address: Address, core: Controller, directory: Directory, counts: Counters, figures: Figures,
         connect_timeout: float, sockets: int, deadlines: dict[str, float], tenants: frozenset[str],
-        listener: socket.socket | None = None,
+        listener: socket.socket | None = None, rules: Rules | None = None,
     ) -> None:  # fmt: skip
         self.core, self.directory, self.counts, self.figures = core, directory, counts, figures
+        self.rules = rules
         self.leave_retry, self.idle = LEAVE_RETRY, 60.0
         busy = b"BUSY %d\r\n" % LEAVE_RETRY
         self.acceptor = Acceptor(address, self.session, counts, sockets, busy, listener)
@@ -71,6 +77,26 @@
         longest = max(deadlines.values(), default=0.0) / 1000
         self.leave_within = min(self.leave_within, min(longest, MOST_DEADLINE) + KILL_AFTER - CALM_EXIT)
 
+    def rule(self, opening: Opening, sock: socket.socket) -> None:
+        """Let the rules say what a request is; the line that goes on to its server stays as it came."""
+        from violetdoor.fronts.line.fields import request
+
+        assert self.rules is not None
+        peer = sock.getpeername()
+        verdict = self.rules.decide(request(opening, peer), self.deadlines)
+        opening.values = None
+        opening.cls = opening.cls if verdict.cls is None else verdict.cls
+        if verdict.refusal is not None:
+            fault = RuledOutError(plain(verdict.refusal))
+            fault.cls = opening.cls
+            raise fault
+        opening.tenant = opening.tenant if verdict.tenant is None else verdict.tenant
+        opening.group = opening.group if verdict.group is None else verdict.group
+        opening.key = opening.key if verdict.key is None else verdict.key
+        known(opening.cls, opening.tenant, self.deadlines, self.tenants)
+        if not opening.at and opening.time_left > TIMES_DEADLINE * self.deadlines[opening.cls]:
+            raise SyntaxFaultError("too much time in 'd' for its class")
+
     def take_id(self, number: int) -> bool:
         """Whether this id is new; it counts as seen from now on.
 
--- a/violetdoor/fronts/line/opening.py
+++ b/violetdoor/fronts/line/opening.py
@@ -25,6 +25,12 @@
     cls = ""
 
 
+class RuledOutError(Exception):
+    """A rule refuses the request; the text is its reason."""
+
+    cls = ""
+
+
 @dataclass(slots=True)
 class Opening:
     """One OPEN line: its values, and the line around the digits of `d`."""
@@ -41,6 +47,7 @@
     at: str  # the server that has this connection already
     before: bytes
     after: bytes
+    values: Values | None = None  # kept for the rules, where there are any
 
     def parts(self, left: float) -> list[Part]:
         """The line for a server, which is told how many ms the relay will wait."""
@@ -52,7 +59,7 @@
 
     def __init__(self, text: str) -> None:
         super().__init__()
-        for pair in text.split(","):
+        for pair in text.split(",") if text else ():
             name, equals, value = pair.partition("=")
             if not equals or not NAME.fullmatch(name) or name in self:
                 raise SyntaxFaultError(f"bad or repeated name {name[:32]!r}")
@@ -80,22 +87,34 @@
         return self.read(name, FLAGS.__contains__) == "1"
 
 
-def parse(line: memoryview, deadlines: dict[str, float], tenants: frozenset[str]) -> Opening:
-    """Read an OPEN line; no deadlines known means any class, no tenants any tenant."""
-    raw = bytes(line)
-    found = LINE.fullmatch(raw)
-    if found is None:
-        raise SyntaxFaultError("not an OPEN line")
-    values = Values(found[3].decode("ascii"))
-    cls, tenant, at = values.get("c", ""), values.get("t", ""), values.get("at", "")
+def known(cls: str, tenant: str, deadlines: dict[str, float], tenants: frozenset[str]) -> None:
+    """See that a class and a tenant can be served."""
     if cls not in deadlines:
         fault = SyntaxFaultError(f"unknown class {cls[:32]!r}")
         fault.cls = cls
         raise fault
     if tenants and tenant not in tenants:
         raise SyntaxFaultError(f"unknown tenant {tenant[:32]!r}")
+
+
+def parse(
+    line: memoryview, deadlines: dict[str, float], tenants: frozenset[str], ruled: bool = False
+) -> Opening:
+    """Read an OPEN line; no tenants known means any. Where rules say class and tenant.
+
+    Any name will do here.
+    """
+    raw = bytes(line)
+    found = LINE.fullmatch(raw)
+    if found is None:
+        raise SyntaxFaultError("not an OPEN line")
+    values = Values(found[3].decode("ascii"))
+    cls, tenant, at = values.get("c", ""), values.get("t", ""), values.get("at", "")
+    if not ruled:
+        known(cls, tenant, deadlines, tenants)
     # A connection from before the run has no deadline any more, and says so with a very long time.
-    left = values.number("d", most=1e9 if at else TIMES_DEADLINE * deadlines[cls])
+    longest = max(deadlines.values(), default=0.0) if ruled else deadlines[cls]
+    left = values.number("d", most=1e9 if at else TIMES_DEADLINE * longest)
     if not left:
         raise SyntaxFaultError("no time in 'd'")
     digits, start = values["d"], found.start(3)
@@ -104,5 +123,5 @@
         id=int(found[1], 16), cls=cls, tenant=tenant, key=int(found[2], 16), time_left=left,
         load=values.number("h", LOAD_MOST) if values.get("h") else None, group=values.hex("g"),
         repeat=values.flag("r"), again=values.flag("again"), at=at,
-        before=raw[:stop], after=raw[stop + len(digits) :],
+        before=raw[:stop], after=raw[stop + len(digits) :], values=values if ruled else None,
     )  # fmt: skip
--- a/violetdoor/fronts/line/session.py
+++ b/violetdoor/fronts/line/session.py
@@ -8,7 +8,7 @@
 
 from lynxdeck import interface as i
 from violetdoor.core import Left, Ticket
-from violetdoor.fronts.line.opening import Opening, SyntaxFaultError, parse
+from violetdoor.fronts.line.opening import Opening, RuledOutError, SyntaxFaultError, parse
 from violetdoor.net.sockets import LineSocket, LineTooLongError, connect, send_parts
 
 if TYPE_CHECKING:
@@ -57,12 +57,19 @@
             return
         arrived = self.core.now()  # its time runs from the last byte, however many pieces the line came in
         try:
-            opening = parse(client.view[:length], front.deadlines, front.tenants)
+            opening = parse(client.view[:length], front.deadlines, front.tenants, front.rules is not None)
+            if front.rules is not None:
+                front.rule(opening, client.sock)
             known = opening.at in front.directory.addresses and self.core.now() < front.adopt_until
             if opening.at and not known:
                 raise SyntaxFaultError("no connection of an earlier run is brought back there")
             if not front.take_id(opening.id):
                 raise SyntaxFaultError("an id that another connection has")
+        except RuledOutError as err:
+            front.counts["ruled_out"] += 1
+            self.cls = err.cls
+            await self.answer("failed", b"ERR %b\r\n" % str(err).encode())
+            return
         except SyntaxFaultError as err:
             front.counts["syntax"] += 1
             log.warning("bad first line: %s", err)
--- a/violetdoor/fronts/nats/front.py
+++ b/violetdoor/fronts/nats/front.py
@@ -4,23 +4,28 @@
 
 import asyncio
 import itertools
-import secrets
+import os
 import socket
 from dataclasses import dataclass, field
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import orjson
 
 from violetdoor.core import Controller
 from violetdoor.core.spread import due
-from violetdoor.fronts.nats.frames import error
+from violetdoor.fronts.nats.frames import Frame, error
+from violetdoor.fronts.nats.link import DeniedError
 from violetdoor.fronts.nats.session import Session
 from violetdoor.net.acceptor import Acceptor
 from violetdoor.net.counters import Counters
 from violetdoor.net.discovery import Directory
 from violetdoor.net.figures import Figures
-from violetdoor.net.sockets import Address, send_parts
+from violetdoor.net.sockets import Address, plain, send_parts
 
+if TYPE_CHECKING:
+    from violetdoor.rules.force import Rules
+
+FIRST = frozenset({"first.op", "first.subject", "first.queue", "first.size", "first.headers"})
 PROTOCOL_VERSION = "2.10.0"  # of the server whose protocol this front speaks
 STEP = 0.05  # s between two looks while leaving
 GRACE_PART, ENDED_PART = 0.3, 0.7  # parts of that time: clients go by themselves until; all were told by
@@ -45,18 +50,29 @@
     tenants: dict[str, tuple[str, str]] = field(default_factory=dict)  # user, or *: tenant and class
 
 
+@dataclass(slots=True, frozen=True)
+class Who:
+    """What a client counts as."""
+
+    tenant: str
+    cls: str
+    group: int | None = None
+    key: int | None = None
+
+
 class NatsFront:
     """The listening socket of the NATS protocol and the sessions of its clients."""
 
     def __init__(
         self, address: Address, core: Controller, directory: Directory, counts: Counters, figures: Figures,
         options: NatsOptions, deadlines: dict[str, float], sockets: int, name: str,
-        listener: socket.socket | None = None,
+        listener: socket.socket | None = None, rules: Rules | None = None,
     ) -> None:  # fmt: skip
+        self.rules = rules
         self.core, self.directory, self.counts, self.figures = core, directory, counts, figures
         self.options, self.deadlines, self.name = options, deadlines, name
         self.tenants = options.tenants  # a reload may change these and the deadlines, nothing else
-        self.identity = secrets.token_hex(28).upper()
+        self.identity = os.urandom(28).hex().upper()
         self.leaving = False
         self.sessions: set[Session] = set()
         figures.gauges["active"] = lambda: sum(bool(s.cls) for s in self.sessions)
@@ -88,6 +104,31 @@
         """The tenant and class of a user, or nothing for one that is not let in."""
         return self.tenants.get(user) or self.tenants.get("*")
 
+    @property
+    def looks_ahead(self) -> bool:
+        """Whether the rules read the first operation behind a CONNECT."""
+        return self.rules is not None and not self.rules.used.isdisjoint(FIRST)
+
+    def who(self, connect: dict[str, Any], first: Frame | None, sock: socket.socket) -> Who:
+        """What a client is, by the rules and, where they leave it open, by the tenants' users."""
+        listed = self.tenant_of(str(connect.get("user") or ""))
+        tenant, cls = listed or ("", "")
+        if self.rules is None:
+            if listed is None:
+                raise DeniedError("Authorization Violation")
+            return Who(tenant, cls)
+        from violetdoor.fronts.nats.fields import request
+
+        verdict = self.rules.decide(request(connect, first, sock.getpeername()), self.deadlines)
+        cls = cls if verdict.cls is None else verdict.cls
+        if verdict.refusal is not None:
+            self.counts["ruled_out"] += 1
+            self.figures.count("errors", cls)
+            raise DeniedError(plain(verdict.refusal))
+        if not cls:
+            raise DeniedError("Authorization Violation")
+        return Who(tenant if verdict.tenant is None else verdict.tenant, cls, verdict.group, verdict.key)
+
     async def session(self, sock: socket.socket) -> bool:
         """Serve one client."""
         number = next(self.numbers)
--- a/violetdoor/fronts/nats/session.py
+++ b/violetdoor/fronts/nats/session.py
@@ -25,7 +25,7 @@
 from violetdoor.net.sockets import connect
 
 if TYPE_CHECKING:
-    from violetdoor.fronts.nats.front import NatsFront
+    from violetdoor.fronts.nats.front import NatsFront, Who
 
 log = logging.getLogger("violetdoor.nats")
 
@@ -35,6 +35,7 @@
 PINGS_OWED_MOST = 64  # PINGs that a client may send ahead of its server
 LAST_WORDS = 0.5  # s to write what is queued before a client's connection is closed
 TICK = 0.05  # s between two looks at a connection's liveness
+AHEAD_TIME, AHEAD_MOST = 0.05, 8  # s, and frames, that the rules wait for a client's first operation
 NEARLY = 50.0  # ms before a deadline at which a refusal counts as the deadline's
 PASSED_ON = ("permissions violation", "invalid subject", "maximum subscriptions")  # errors that close nothing
 
@@ -57,7 +58,11 @@
         self.pings_owed = 0  # PINGs of the client that the next server has to answer
         self.verbose, self.headers, self.upstream_connect = True, False, b""
         self.leave: asyncio.Future[None] = self.loop.create_future()  # the program wants it to end
-        self.tenant, self.cls = "", ""
+        self.cls = ""  # once the client has said who it is
+        self.who: Who | None = None
+        self.said = False  # the CONNECT that comes next was read already
+        self.ahead: list[Frame] = []  # read for the rules, and not carried out yet
+        self.reading: asyncio.Future[Frame | None] | None = None  # a frame that came too late
 
     async def run(self) -> None:
         """Greet the client, place it, and place it anew for as long as it stays."""
@@ -71,8 +76,10 @@
             listener = self.loop.create_task(self.from_client(first))
             again = False
             while not last:
+                who = self.who
+                assert who is not None
                 ticket = self.core.arrive(
-                    self.cls, self.front.deadlines[self.cls], self.tenant, None, None, None, False, again
+                    who.cls, self.front.deadlines[who.cls], who.tenant, who.key, None, who.group, False, again
                 )
                 try:
                     link, last = await self.place(ticket)
@@ -87,9 +94,10 @@
             last = "Internal Error"
             raise
         finally:
-            if listener is not None:
-                listener.cancel()
-                await asyncio.gather(listener, return_exceptions=True)
+            started = [task for task in (listener, self.reading) if task is not None]
+            for task in started:
+                task.cancel()
+            await asyncio.gather(*started, return_exceptions=True)
             if last and last != LEFT:
                 self.counts["nats_errors"] += 1
                 if last == SLOW:
@@ -107,10 +115,30 @@
         if frame is not None:
             if not self.front.acceptor.admit():
                 raise ProtocolError("maximum connections exceeded")
-            self.connect(frame.args[0] if frame.op == "CONNECT" else b"{}")
+            first = frame
+            if frame.op == "CONNECT" and self.front.looks_ahead:
+                first = await self.look_ahead() or frame
+            self.connect(frame.args[0] if frame.op == "CONNECT" else b"{}", first)
+            self.said = frame.op == "CONNECT"
         return frame
 
-    def connect(self, text: bytes) -> None:
+    async def look_ahead(self) -> Frame | None:
+        """The client's first SUB, PUB or HPUB, as far as it sends it without waiting for an answer."""
+        until = self.loop.time() + AHEAD_TIME
+        while len(self.ahead) < AHEAD_MOST:
+            reading = self.reading = asyncio.ensure_future(self.reader.frame())
+            await asyncio.wait((reading,), timeout=max(0.0, until - self.loop.time()))
+            if not reading.done() or reading.exception() or (frame := reading.result()) is None:
+                return None  # what it ends with is met when it is that frame's turn
+            self.reading = None
+            self.ahead.append(frame)
+            if frame.op in ("SUB", "PUB", "HPUB"):
+                return frame
+            if frame.op != "PING" or self.reader.start == self.reader.stop:
+                return None  # it waits for its PONG
+        return None
+
+    def connect(self, text: bytes, first: Frame | None = None) -> None:
         """Read the client's CONNECT; the server gets it as it is but for what concerns this connection."""
         try:
             values = orjson.loads(text)
@@ -120,10 +148,8 @@
             raise ProtocolError("Parser Error") from err
         self.verbose = bool(values.get("verbose", True))
         self.headers = bool(values.get("headers", False))
-        who = self.front.tenant_of(str(values.get("user") or ""))
-        if who is None:
-            raise DeniedError("Authorization Violation")
-        self.tenant, self.cls = who
+        self.who = self.front.who(values, first, self.sock)
+        self.cls = self.who.cls
         upstream = values | {"verbose": False, "tls_required": False, "headers": True, "protocol": 1}
         upstream["no_responders"] = bool(values.get("no_responders")) and self.headers
         self.upstream_connect = b"CONNECT " + orjson.dumps(upstream) + b"\r\n"
@@ -394,10 +420,13 @@
 
     async def next_frame(self) -> Frame | None:
         """Read on; a client that says nothing is asked for a sign of life and then given up."""
+        if self.ahead:
+            return self.ahead.pop(0)
+        reading, self.reading = self.reading or self.reader.frame(), None
         waker = self.loop.call_later(self.options.client_ping, self.out.put, b"PING\r\n")
         try:
             async with asyncio.timeout(self.options.client_ping * 2):
-                return await self.reader.frame()
+                return await reading
         except TimeoutError as err:
             raise ProtocolError("Stale Connection") from err
         finally:
@@ -432,7 +461,9 @@
                     link.ping(self.journal.taken, of_client=True)
                 return
             case "CONNECT":
-                self.connect(frame.args[0])
+                if not self.said:
+                    self.connect(frame.args[0])
+                self.said = False
             case "PUB" | "HPUB":
                 self.counts["publications"] += 1
                 if not frames.valid_subject(frame.args[0], wildcards=False):
--- a/violetdoor/handover.py
+++ b/violetdoor/handover.py
@@ -25,7 +25,7 @@
 ANSWER_WITHIN = 1.0  # s that a predecessor has for the state; a process without one starts by itself
 STOPS_WITHIN = 0.5  # s that it has to stop accepting before this one says that it takes clients all the same
 TELL_EVERY = 0.2  # s between two words on what the old process still holds
-MESSAGE_MOST = 1 << 20
+MESSAGE_MOST = 16 << 20  # bytes: rules with large sets are in the settings
 PATIENCE = 2.0  # s that the other process may take nothing
 CHUNK = 64 * 1024
 
--- a/violetdoor/net/sockets.py
+++ b/violetdoor/net/sockets.py
@@ -22,6 +22,11 @@
     return host.strip("[]"), int(port)
 
 
+def plain(text: str, most: int = 120) -> str:
+    """A reason as it may stand in a line of a protocol: printable ASCII without quotes, bounded."""
+    return "".join(c if " " <= c <= "~" and c not in "'\"" else "?" for c in text[:most])
+
+
 def listen(address: Address, shared: bool = False) -> socket.socket:
     """Open a listening socket."""
     family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
--- a/violetdoor/program.py
+++ b/violetdoor/program.py
@@ -10,16 +10,16 @@
 from collections.abc import Callable
 from enum import Enum
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import orjson
 
 from lynxdeck import interface as i
-from violetdoor.config import Config, ConfigError, from_platform, lacks
+from violetdoor.config import Config, ConfigError, lacks, with_rules
 from violetdoor.console.calls import Calls
 from violetdoor.console.server import Console
 from violetdoor.core import Controller
 from violetdoor.fronts.line.front import LineFront
-from violetdoor.fronts.nats.front import NatsFront
 from violetdoor.handover import Handover, Inherited
 from violetdoor.maintenance import Maintenance
 from violetdoor.net.counters import Counters
@@ -28,6 +28,11 @@
 from violetdoor.net.logs import Limit
 from violetdoor.sharing import Sharing
 
+if TYPE_CHECKING:  # what the platform's relay has no use for stays out of its memory
+    from violetdoor.fronts.nats.front import NatsFront
+    from violetdoor.rules.force import Rules
+    from violetdoor.rules.source import Compiled
+
 log = logging.getLogger("violetdoor")
 
 _OFFSET = (time.time() - time.monotonic()) * 1000
@@ -52,9 +57,14 @@
 
     def __init__(
         self, config: Config, reread: Callable[[], Config], limit: Limit, meet: Path | None = None,
-        inherited: Inherited | None = None,
+        inherited: Inherited | None = None, adopt: Callable[[bytes], Config] | None = None,
+        compiled: Compiled | None = None,
     ) -> None:  # fmt: skip
-        self.limit = limit
+        self.limit, self.adopt = limit, adopt
+        self.rules: Rules | None = None
+        self.compiled = compiled  # the rules to begin with
+        self.changing: asyncio.Task[None] | None = None  # a change of rules, and what came after it
+        self.changes = 0
         self.config, self.reread, self.counts, self.phase = config, reread, Counters(), Phase.STARTING
         self.directory, self.figures = Directory(), Figures(config.deadlines)
         self.stop = asyncio.Event()
@@ -82,13 +92,71 @@
             new = self.reread()
             if (new.discovery is None) != (self.watch is None):
                 raise ConfigError("from discovery to a list of servers, or back, takes a restart")
-            if missing := self.config.raw and lacks(orjson.loads(self.config.raw), orjson.loads(new.raw)):
+            held = self.config.raw if self.config.platform else b""
+            if missing := held and lacks(orjson.loads(held), orjson.loads(new.raw)):
                 raise ConfigError(missing)
+            if new.platform is False and (new.nats is None) != (self.config.nats is None):
+                raise ConfigError("another front takes a restart")
+            if (new.rules is None) != (self.rules is None):
+                raise ConfigError("from rules to none, or back, takes a restart")
         except ConfigError as err:
-            self.counts["reload_failed"] += 1
-            self.figures.counts["config_rejected"] += 1
-            log.error("reload failed, the old values stay: %s", err)
+            self.reject(err)
             return
+        if new.rules is None:
+            self.accept(new, core, front)
+        else:
+            self.change(new, core, front)
+
+    def reject(self, err: Exception) -> None:
+        """Keep to what is in force."""
+        self.counts["reload_failed"] += 1
+        self.figures.counts["config_rejected"] += 1
+        log.error("reload failed, the old values stay: %s", err)
+
+    def change(
+        self, new: Config, core: Controller, front: LineFront | NatsFront, told: bool = False
+    ) -> None:
+        """Go over to a configuration once its rules are compiled.
+
+        Of several on the way only the newest counts.
+        """
+        before, self.changes = self.changing, self.changes + 1
+        task = self.changing = asyncio.get_running_loop().create_task(
+            self._change(new, core, front, before, self.changes, told)
+        )
+        task.add_done_callback(self._changed)
+
+    async def _change(
+        self, new: Config, core: Controller, front: LineFront | NatsFront, before: asyncio.Task[None] | None,
+        number: int, told: bool,
+    ) -> None:  # fmt: skip
+        from violetdoor.rules.source import RulesFaultError, compile_beside
+
+        if before is not None:
+            await asyncio.wait((before,))
+        if number < self.changes or new.rules is None or self.rules is None:
+            return
+        try:
+            compiled = await compile_beside(new.rules)
+        except (RulesFaultError, OSError) as err:
+            for line in str(err).splitlines()[1:]:
+                log.error("rules: %s", line)
+            self.reject(ConfigError(str(err).partition("\n")[0]))
+            return
+        await self.rules.swap(compiled)
+        new = with_rules(new, compiled.source)
+        if told:  # by the other process, which must not be told back
+            self.apply(new, core, front)
+        else:
+            self.accept(new, core, front)
+
+    def _changed(self, task: asyncio.Task[None]) -> None:
+        if not task.cancelled() and (err := task.exception()):
+            self.counts["faults"] += 1
+            self.reject(ConfigError(f"{type(err).__name__} {err}"))
+
+    def accept(self, new: Config, core: Controller, front: LineFront | NatsFront) -> None:
+        """Go over to a configuration that is sound, and let the other process know."""
         self.counts["reloads"] += 1
         self.figures.counts["config_applied"] += 1
         if self.handover is not None and new.raw:
@@ -99,6 +167,9 @@
         """Go over to a configuration that has passed every check, in one step."""
         self.figures.know(new.deadlines)
         core.reconfigure(new.settings, new.tells_delay)
+        if new.rules is not None and self.rules is not None and not new.rules.same(self.rules.source):
+            self.change(new, core, front, told=True)  # of the other process; all else comes with it
+            return
         if isinstance(front, LineFront):
             front.reconfigure(new.deadlines, new.tenants, new.connect_timeout)
         elif new.nats is not None:
@@ -117,14 +188,21 @@
     def front(self, core: Controller) -> LineFront | NatsFront:
         """The one front that this program has."""
         c, listener = self.config, self.inherited.listener if self.inherited else None
+        if self.compiled is not None:
+            from violetdoor.rules.force import Rules
+
+            self.rules = Rules(self.counts, self.compiled)
+            self.compiled = None
         if c.nats is None:
             return LineFront(
                 c.listen, core, self.directory, self.counts, self.figures, c.connect_timeout, c.sockets,
-                c.deadlines, c.tenants, listener,
+                c.deadlines, c.tenants, listener, self.rules,
             )  # fmt: skip
+        from violetdoor.fronts.nats.front import NatsFront
+
         return NatsFront(
             c.listen, core, self.directory, self.counts, self.figures, c.nats, c.deadlines, c.sockets, c.name,
-            listener,
+            listener, self.rules,
         )
 
     def console(self, front: LineFront | NatsFront, maintenance: Maintenance) -> Console | None:
@@ -136,7 +214,8 @@
             settled = self.handover is None or self.handover.settled
             return self.phase is Phase.SERVING and front.acceptor.accepting and settled
 
-        return Console(self.config.console, Calls(healthy, self.figures, maintenance), self.counts)
+        rules = self.rules.text if self.rules is not None else None
+        return Console(self.config.console, Calls(healthy, self.figures, maintenance, rules), self.counts)
 
     def begin_list(self, core: Controller) -> None:
         """Start from all that the process before this one knew, else from the known list."""
@@ -164,7 +243,8 @@
             return None
 
         def apply(raw: bytes) -> None:
-            self.apply(from_platform(inherited=raw), core, front)
+            if self.adopt is not None:
+                self.apply(self.adopt(raw), core, front)
 
         sharing = Sharing(core, front, self.directory, maintenance, lambda: self.config.raw, apply)
         handover = self.handover = Handover(self.meet, sharing, front.acceptor.sock)
@@ -211,6 +291,9 @@
         await front.leave()
         serving.cancel()
         await asyncio.gather(serving, return_exceptions=True)
+        if self.changing is not None:
+            self.changing.cancel()
+            await asyncio.gather(self.changing, return_exceptions=True)
         if watch is not None:
             await watch.stop()
         if handing is not None:
--- /dev/null
+++ b/violetdoor/settings.py
@@ -0,0 +1,292 @@
+"""The forms of both configuration files as msgspec structs, and all faults of one file together."""
+
+from __future__ import annotations
+
+import types
+import typing
+from collections.abc import Iterator
+from functools import cache
+from typing import Annotated, Any, Literal
+
+import msgspec
+from msgspec import Meta, Struct, field
+
+Positive = Annotated[float, Meta(gt=0)]
+Count = Annotated[int, Meta(ge=1)]
+Name = Annotated[str, Meta(min_length=1)]
+Address = Annotated[str, Meta(pattern=r"^.*:[0-9]{1,5}$", description="host:port")]
+ServerLine = dict[str, Any]
+Path = tuple[str | int, ...]
+
+
+# What the platform tells. Names that are not here are left alone: the platform may say more than this reads.
+
+
+class PlatformClass(Struct):
+    """A class of requests; times in ms."""
+
+    name: Name
+    goalTime: Positive
+    hardLimit: Positive
+    worth: float = 1.0
+
+
+class PolicyLimits(Struct):
+    """What the module may do."""
+
+    sendCap: Positive
+    connectTimeout: Positive = 200.0
+    probes: bool | None = None
+
+
+class FamilyInfo(Struct):
+    """What is special to connections that live long."""
+
+    messageAim: list[float] | None = None
+    tellsDelay: bool | None = None
+
+
+class Account(Struct):
+    """A tenant."""
+
+    name: str
+
+
+class Facts(Struct):
+    """The settings, as the simulator's first message has them."""
+
+    classes: Annotated[list[PlatformClass], Meta(min_length=1)]
+    policyLimits: PolicyLimits
+    familyInfo: FamilyInfo = field(default_factory=FamilyInfo)
+    accounts: list[Account] | None = None
+
+
+class Limits(Struct):
+    """The process's limits."""
+
+    sockets: Count = 1024
+
+
+class Platform(Struct):
+    """The platform's file; what the environment says too may be left out."""
+
+    settings: Facts
+    name: str | None = None
+    listen: Address | None = None
+    discovery: Address | None = None
+    console: Address | None = None
+    seed: str | int = "0"
+    limits: Limits = field(default_factory=Limits)
+    known: dict[str, Any] | None = None
+
+
+# What an operator writes: every name is known.
+
+
+class Closed(Struct, forbid_unknown_fields=True):
+    """A table that takes no other names than its own."""
+
+
+class OperatorClass(Closed):
+    """A class of requests; times in ms."""
+
+    name: Name
+    aim_ms: Positive
+    deadline_ms: Positive
+    worth: Positive = 1.0
+    message_aim_ms: Positive | None = None
+
+
+class Tenant(Closed):
+    """A tenant of the NATS front: who belongs to it."""
+
+    name: Name
+    cls: Name = field(name="class")
+    users: list[str] = []
+
+
+class Server(Closed):
+    """One server of a fixed list."""
+
+    addr: Address
+    id: Name | None = None
+    zone: str | None = None
+    kind: str | None = None
+    cell: int | None = None
+    weight: Positive = 1.0
+
+
+class Nats(Closed):
+    """The NATS front; seconds and bytes."""
+
+    max_payload: Count = 65_536
+    max_pending: Count = 262_144
+    write_deadline: Positive = 5.0
+    connect_deadline: Positive = 5.0
+    connect_timeout: Positive = 0.5
+    ping_interval: Positive = 1.0
+    silence: Positive = 2.0
+    client_ping: Positive = 30.0
+    unconfirmed_most: Count = 262_144
+    max_subscriptions: Count = 256
+    repeat_window: Count = 128
+    leave: Positive = 5.0
+
+
+class Line(Closed):
+    """The line front; seconds."""
+
+    connect_timeout: Positive = 0.2
+    tenants: list[Name] = []
+
+
+class Rules(Closed):
+    """Match rules: a file beside this one, or their text."""
+
+    file: Name | None = None
+    text: Name | None = None
+    limit_us: Positive = 250.0
+    files: dict[str, str] | None = None  # what the sets' files held, where a predecessor gave its own
+
+
+class Operator(Closed):
+    """An operator's file, TOML or JSON."""
+
+    listen: Address
+    classes: Annotated[list[OperatorClass], Meta(min_length=1)]
+    front: Literal["nats", "line"] = "nats"
+    name: Name | None = None
+    console: Address | None = None
+    discovery: Address | None = None
+    zone: str = ""
+    relays: Count = 1
+    sockets: Count = 1024
+    attempts: Count = 3
+    retry_after_ms: Positive = 1500.0
+    nats: Nats = field(default_factory=Nats)
+    line: Line = field(default_factory=Line)
+    rules: Rules | None = None
+    tenants: list[Tenant] = []
+    servers: list[Server] = []
+
+
+def schema(form: Any) -> dict[str, Any]:
+    """The JSON Schema of a form."""
+    return {"$schema": "https://json-schema.org/draft/2020-12/schema", **msgspec.json.schema(form)}
+
+
+# All faults of one file.
+
+
+class Fault(typing.NamedTuple):
+    """A place in the file by its names, and what is wrong there."""
+
+    path: Path
+    what: str
+
+    def __str__(self) -> str:
+        where = ""
+        for step in self.path:
+            where += f"[{step}]" if isinstance(step, int) else f".{step}" if where else step
+        return f"{where}: {self.what}" if where else self.what
+
+
+def faults(form: type[Struct], data: Any) -> list[Fault]:
+    """All that keeps the data from having this form, in the file's order as far as the form knows it."""
+    return list(_struct(form, data, ()))
+
+
+@cache
+def _hints(form: type[Struct]) -> dict[str, Any]:
+    hints = typing.get_type_hints(form, include_extras=True)
+    return {f.encode_name: (hints[f.name], f.required) for f in msgspec.structs.fields(form)}
+
+
+def _struct(form: type[Struct], value: Any, path: Path) -> Iterator[Fault]:
+    if not isinstance(value, dict):
+        yield Fault(path, f"found {_shown(value)}, expected a table")
+        return
+    known = _hints(form)
+    import difflib  # for a file that is at fault, and no other
+
+    for name in value if form.__struct_config__.forbid_unknown_fields else ():
+        if name not in known:
+            near = difflib.get_close_matches(str(name), known, 1)
+            hint = f"did you mean {near[0]!r}?" if near else "expected one of " + ", ".join(sorted(known))
+            yield Fault((*path, str(name)), f"unknown name {name!r}; {hint}")
+    for name, (hint, required) in known.items():
+        if name in value:
+            yield from _value(hint, value[name], (*path, name))
+        elif required:
+            yield Fault(path, f"{name!r} is missing")
+
+
+def _value(hint: Any, value: Any, path: Path) -> Iterator[Fault]:
+    plain = typing.get_args(hint)[0] if typing.get_origin(hint) is Annotated else hint
+    origin = typing.get_origin(plain)
+    if origin in (typing.Union, types.UnionType):
+        parts = typing.get_args(plain)
+        if value is None and type(None) in parts:
+            return
+        held = [p for p in parts if p is not type(None)]
+        if len(held) == 1:
+            yield from _value(held[0], value, path)
+            return
+    if isinstance(plain, type) and issubclass(plain, Struct):
+        yield from _struct(plain, value, path)
+        return
+    if origin is list and isinstance(value, list):
+        inner = typing.get_args(plain)[0]
+        found = [fault for n, item in enumerate(value) for fault in _value(inner, item, (*path, n))]
+        yield from found
+        if found:
+            return
+    try:
+        msgspec.convert(value, hint)
+    except msgspec.ValidationError as err:
+        yield Fault(path, f"found {_shown(value)}, {_worded(str(err), hint)}")
+
+
+def _worded(text: str, hint: Any) -> str:
+    if hint is Address:
+        return "expected host:port"
+    if typing.get_origin(hint) is Literal:
+        return "expected " + " or ".join(map(repr, typing.get_args(hint)))
+    text = text.partition(" - at ")[0].partition(", got ")[0].replace("`", "")
+    return text[:1].lower() + text[1:]
+
+
+def _shown(value: Any) -> str:
+    text = repr(value)
+    return text if len(text) <= 60 else text[:57] + "..."
+
+
+def cross_faults(o: Operator) -> Iterator[Fault]:
+    """What only the whole of a sound file can tell."""
+    names: set[str] = set()
+    for n, c in enumerate(o.classes):
+        if c.name in names:
+            yield Fault(("classes", n, "name"), f"found {c.name!r} a second time, expected each class once")
+        names.add(c.name)
+    if (o.discovery is not None) == bool(o.servers):
+        yield Fault(("discovery",) if o.discovery else (), "either discovery or servers is wanted")
+    for n, tenant in enumerate(o.tenants):
+        if tenant.cls not in names:
+            known = ", ".join(sorted(names))
+            yield Fault(("tenants", n, "class"), f"unknown class {tenant.cls!r}, expected one of {known}")
+    if o.front == "line" and o.tenants:
+        yield Fault(("tenants",), "the line front has its tenants in line.tenants")
+    if o.front == "nats" and not o.tenants and o.rules is None:
+        yield Fault((), "'tenants' is missing: the NATS front lets in only those that tenants or rules name")
+    if o.rules is not None and (o.rules.file is None) == (o.rules.text is None):
+        yield Fault(("rules",), "either file or text is wanted")
+    for place, text in (("listen", o.listen), ("console", o.console), ("discovery", o.discovery)):
+        if text is not None and not _port(text):
+            yield Fault((place,), f"found {text!r}, expected host:port")
+    for n, server in enumerate(o.servers):
+        if not _port(server.addr):
+            yield Fault(("servers", n, "addr"), f"found {server.addr!r}, expected host:port")
+
+
+def _port(address: str) -> bool:
+    return int(address.rpartition(":")[2]) < 65536
--- a/violetdoor/sharing.py
+++ b/violetdoor/sharing.py
@@ -3,15 +3,17 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from lynxdeck import interface as i
 from violetdoor.core import Controller
 from violetdoor.fronts.line.front import LineFront
-from violetdoor.fronts.nats.front import NatsFront
 from violetdoor.maintenance import Maintenance
 from violetdoor.net.discovery import Directory
 
+if TYPE_CHECKING:
+    from violetdoor.fronts.nats.front import NatsFront
+
 
 class Sharing:
     """Gives the state, takes what the other process says."""
