--- a/benchmarks/match.py
+++ b/benchmarks/match.py
@@ -254,7 +254,7 @@
     request = SCHEMA.request({"peer.address": bytes(4), "peer.port": 4000, "connect.user": "club7.app", "connect.name": "n",
                               "connect.lang": "go", "connect.version": "1", "connect.verbose": False,
                               "connect.headers": True, "first.headers": {}})  # fmt: skip
-    activation = {"user": celtypes.StringType("club7.app"), "headers": celtypes.BoolType(True),
+    activation: Any = {"user": celtypes.StringType("club7.app"), "headers": celtypes.BoolType(True),
                   "lang": celtypes.StringType("go"), "port": celtypes.IntType(4000)}  # fmt: skip
     lines = ["| expression | ours us | cel-python us | ratio |", "| --- | --- | --- | --- |"]
     for ours, cel in PAIRS:
--- a/benchmarks/match_prices.py
+++ b/benchmarks/match_prices.py
@@ -71,7 +71,10 @@
 
 
 def patterns() -> Measured:
-    """Expressions whose automaton outgrows its memory, on texts made for it and new to it each time."""
+    """Expressions whose automaton outgrows its memory, on texts made for it and new to it each time.
+
+    The longest of 30 counts: most of these times are states built for the first time, and those come in bursts.
+    """
     one = compiled_pattern("a")
     base = quantile(batches(lambda: one.search(b"a") is not None, 1000, ROUNDS), 0.9)
     each, rng = 0.0, random.Random(1)
@@ -81,7 +84,7 @@
             for n in (256, 1024, 4096):
                 tried: list[object] = [bytes(rng.choices(b"abx", (8, 8, 1), k=n)) for _ in range(30)]
                 taken = [t - base for t in singles(lambda t: program.search(t), tried)]  # noqa: B023
-                each = max(each, quantile(taken, 0.9) / (n * program.programsize))
+                each = max(each, taken[-1] / (n * program.programsize))
     return base, each
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -17,7 +17,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from standins import PATIENCE, ROOT, Discovery, GateServer, NatsServer, Relay, Standin, relay, run, until
-from test_line import first_line, front, line, opened
+from test_line import front, line, opened
 from test_nats import Client
 
 from violetdoor import settings as forms
@@ -366,4 +366,11 @@
     done = subprocess.run([sys.executable, "-m", "violetdoor.rules.worker"], input=json.dumps(order).encode(),
                           capture_output=True, check=False, timeout=60)  # fmt: skip
     assert done.returncode == 2 and b"f:1:" in done.stderr and b"Traceback" not in done.stderr
-    assert first_line(b"")
+
+
+
+def test_the_demo_shows_a_client_that_goes_on() -> None:
+    done = command("demo", "--seconds", "5", "--fault", "cut")
+    assert done.returncode == 0, done.stdout + done.stderr
+    assert 'by rule "the demo\'s client"' in done.stdout and "breaks its connections" in done.stdout
+    assert " 0 lost, 0 twice" in done.stdout and not done.stderr
--- a/violetdoor/config.py
+++ b/violetdoor/config.py
@@ -56,7 +56,8 @@
         """What is different in a newer configuration and takes a restart."""
         names = ("name", "listen", "console", "sockets")
         changed = [name for name in names if getattr(self, name) != getattr(new, name)]
-        if self.nats and new.nats and replace(self.nats, tenants={}) != replace(new.nats, tenants={}):
+        options = (msgspec.structs.replace(n, tenants={}) for n in (self.nats, new.nats) if n)
+        if self.nats and new.nats and next(options) != next(options):
             changed.append("nats")
         return changed
 
--- a/violetdoor/fronts/nats/front.py
+++ b/violetdoor/fronts/nats/front.py
@@ -6,9 +6,10 @@
 import itertools
 import os
 import socket
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
+import msgspec
 import orjson
 
 from violetdoor.core import Controller
@@ -21,6 +22,7 @@
 from violetdoor.net.discovery import Directory
 from violetdoor.net.figures import Figures
 from violetdoor.net.sockets import Address, plain, send_parts
+from violetdoor.settings import Nats
 
 if TYPE_CHECKING:
     from violetdoor.rules.force import Rules
@@ -31,23 +33,10 @@
 GRACE_PART, ENDED_PART = 0.3, 0.7  # parts of that time: clients go by themselves until; all were told by
 
 
-@dataclass(slots=True, frozen=True)
-class NatsOptions:
-    """What an operator may set; times in seconds, sizes in bytes."""
-
-    max_payload: int = 65_536
-    max_pending: int = 262_144  # queued towards one client before its server waits
-    write_deadline: float = 5.0  # that a client may take nothing before it is a slow consumer
-    connect_deadline: float = 5.0  # for a client's first operation
-    connect_timeout: float = 0.5  # of a connection to a server
-    ping_interval: float = 1.0  # between two PINGs to a server
-    silence: float = 2.0  # without a sign of life after which a server counts as silent
-    client_ping: float = 30.0  # of a client's silence before it is asked for a sign of life
-    unconfirmed_most: int = 262_144  # published and not confirmed before the client waits
-    max_subscriptions: int = 256  # of one client
-    repeat_window: int = 128  # message ids remembered for each subscription
-    leave: float = 5.0  # from the order to stop to the last connection's end
-    tenants: dict[str, tuple[str, str]] = field(default_factory=dict)  # user, or *: tenant and class
+class NatsOptions(Nats):
+    """What an operator may set, and who belongs to which tenant."""
+
+    tenants: dict[str, tuple[str, str]] = msgspec.field(default_factory=dict)  # user, or *: tenant and class
 
 
 @dataclass(slots=True, frozen=True)
--- a/violetdoor/settings.py
+++ b/violetdoor/settings.py
@@ -117,20 +117,20 @@
 
 
 class Nats(Closed):
-    """The NATS front; seconds and bytes."""
+    """The NATS front; times in seconds, sizes in bytes."""
 
     max_payload: Count = 65_536
-    max_pending: Count = 262_144
-    write_deadline: Positive = 5.0
-    connect_deadline: Positive = 5.0
-    connect_timeout: Positive = 0.5
-    ping_interval: Positive = 1.0
-    silence: Positive = 2.0
-    client_ping: Positive = 30.0
-    unconfirmed_most: Count = 262_144
-    max_subscriptions: Count = 256
-    repeat_window: Count = 128
-    leave: Positive = 5.0
+    max_pending: Count = 262_144  # queued towards one client before its server waits
+    write_deadline: Positive = 5.0  # that a client may take nothing before it is a slow consumer
+    connect_deadline: Positive = 5.0  # for a client's first operation
+    connect_timeout: Positive = 0.5  # of a connection to a server
+    ping_interval: Positive = 1.0  # between two PINGs to a server
+    silence: Positive = 2.0  # without a sign of life after which a server counts as silent
+    client_ping: Positive = 30.0  # of a client's silence before it is asked for a sign of life
+    unconfirmed_most: Count = 262_144  # published and not confirmed before the client waits
+    max_subscriptions: Count = 256  # of one client
+    repeat_window: Count = 128  # message ids remembered for each subscription
+    leave: Positive = 5.0  # from the order to stop to the last connection's end
 
 
 class Line(Closed):
