--- a/violetdoor/overload/signals.py
+++ b/violetdoor/overload/signals.py
@@ -30,7 +30,7 @@
     "backlog": Marks(0.25, 0.90, 0.3),
     "queued": Marks(0.50, 1.0, 0.5),
 }
-LIMITS = ("memory", "descriptors", "backlog", "queued")
+LIMITS = ("memory", "descriptors", "queued")
 ROOM_FROM, ROOM_SPAN = 0.8, 0.4  # pressure of these from which less is let in; how much more until nothing
 SHARE_FALLS = 0.2  # s, time constant of the share of the processor that others leave
 STALE = 1.0  # s without a reading after which a signal says nothing
