--- a/violetdoor/__main__.py
+++ b/violetdoor/__main__.py
@@ -20,8 +20,6 @@
 if TYPE_CHECKING:
     from violetdoor.rules.source import Compiled
 
-USAGE = "violetdoor [--config FILE] starts a relay; violetdoor --help lists the commands"
-
 
 async def serve(
     config: Config, reread: Callable[[], Config], limit: Limit, meet: Path | None,
--- a/violetdoor/config.py
+++ b/violetdoor/config.py
@@ -57,9 +57,9 @@
         """What is different in a newer configuration and takes a restart."""
         names = ("name", "listen", "console", "sockets", "overload")
         changed = [name for name in names if getattr(self, name) != getattr(new, name)]
-        options = (msgspec.structs.replace(n, tenants={}) for n in (self.nats, new.nats) if n)
-        if self.nats and new.nats and next(options) != next(options):
-            changed.append("nats")
+        if self.nats and new.nats:
+            beside_tenants = msgspec.structs.replace(new.nats, tenants=self.nats.tenants)
+            changed += ["nats"] if beside_tenants != self.nats else []
         return changed
 
 
--- a/violetdoor/core/controller.py
+++ b/violetdoor/core/controller.py
@@ -11,8 +11,9 @@
 import logging
 import math
 from collections import deque
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, replace
+from typing import Protocol, TypeVar
 
 from lynxdeck import interface as i
 from lynxdeck.policy import Balancer
@@ -33,6 +34,15 @@
 Prober = Callable[[str], Awaitable[i.Probed]]
 
 
+class Classed(Protocol):
+    """Anything that belongs to a class of requests."""
+
+    cls: str
+
+
+C = TypeVar("C", bound=Classed)
+
+
 @dataclass(slots=True, frozen=True)
 class Left:
     """In place of a decision: the client left, nothing more is owed."""
@@ -273,10 +283,10 @@
                 server.probing = False
         self.resting = resting
 
-    def least_worthy(self, tickets: list[Ticket], part: float) -> list[Ticket]:
-        """Such a part of these, at least one: those whose class is worth least."""
+    def least_worthy(self, held: Sequence[C], part: float) -> list[C]:
+        """Such a part of these, rounded up: those whose class is worth least, in the order they have."""
         worth = {name: c.worth for name, c in self.settings.classes.items()}
-        ordered = sorted(tickets, key=lambda t: worth.get(t.cls, 0.0))
+        ordered = sorted(held, key=lambda one: worth.get(one.cls, 0.0))
         return ordered[: math.ceil(len(ordered) * part)]
 
     def any_ready(self) -> bool:
--- a/violetdoor/fronts/line/session.py
+++ b/violetdoor/fronts/line/session.py
@@ -309,7 +309,7 @@
         lines = client.buffer.count(b"\n", 0, length)
         self.front.counts["lines_up"] += lines
         if self.front.gate is not None:
-            self.front.gate.controller.costs.count("line", 2 * lines)  # each has an answer
+            self.front.gate.passed(2 * lines)  # each has an answer
         await send_parts(server.sock, [client.view[:length]])
         client.consume(length)
 
--- a/violetdoor/fronts/nats/front.py
+++ b/violetdoor/fronts/nats/front.py
@@ -29,7 +29,6 @@
     from violetdoor.overload.gate import Gate
     from violetdoor.rules.force import Rules
 
-FIRST = frozenset({"first.op", "first.subject", "first.queue", "first.size", "first.headers"})
 PROTOCOL_VERSION = "2.10.0"  # of the server whose protocol this front speaks
 RELIEF_PART, RELIEF_PENDING = 0.1, 16_384  # of the sessions at a time; bytes that may wait for each of them
 STEP = 0.05  # s between two looks while leaving
@@ -97,10 +96,8 @@
         for session in longest[: math.ceil(len(longest) * RELIEF_PART)]:
             session.out.most = min(session.out.most, RELIEF_PENDING)
         if move:
-            worth = {name: c.worth for name, c in self.core.settings.classes.items()}
-            ending = [s for s in self.sessions if s.cls and not s.leave.done()]
-            ending.sort(key=lambda s: (worth.get(s.cls, 0.0), -s.out.size))
-            for session in ending[: math.ceil(len(ending) * RELIEF_PART / 10)]:
+            ending = [s for s in longest if s.cls and not s.leave.done()]
+            for session in self.core.least_worthy(ending, RELIEF_PART / 10):
                 session.leave.set_result(None)
 
     def info(self, number: int) -> bytes:
@@ -122,7 +119,7 @@
     @property
     def looks_ahead(self) -> bool:
         """Whether the rules read the first operation behind a CONNECT."""
-        return self.rules is not None and not self.rules.used.isdisjoint(FIRST)
+        return self.rules is not None and any(name.startswith("first.") for name in self.rules.used)
 
     def who(self, connect: dict[str, Any], first: Frame | None, sock: socket.socket) -> Who:
         """What a client is, by the rules and, where they leave it open, by the tenants' users."""
--- a/violetdoor/fronts/nats/session.py
+++ b/violetdoor/fronts/nats/session.py
@@ -353,7 +353,7 @@
                 match frame.op:
                     case "MSG" | "HMSG":
                         if self.front.gate is not None:
-                            self.front.gate.controller.costs.count("line")
+                            self.front.gate.passed()
                         self.deliver(frame, link)
                         if self.out.full:
                             await self.out.room()
@@ -484,7 +484,7 @@
             case "PUB" | "HPUB":
                 self.counts["publications"] += 1
                 if self.front.gate is not None:
-                    self.front.gate.controller.costs.count("line")
+                    self.front.gate.passed()
                 if not frames.valid_subject(frame.args[0], wildcards=False):
                     self.out.put(frames.error("Invalid Subject"))
                     return
--- a/violetdoor/match/faults.py
+++ b/violetdoor/match/faults.py
@@ -85,7 +85,10 @@
         what = shown(self.text[span.start : span.end]) if found is None else found
         self.found[span.start, expected] = Fault(self.file, line, column, what, expected)
 
-    def check(self) -> None:
-        """Raise them all together, if there are any."""
-        if self.found:
-            raise RulesError([self.found[k] for k in sorted(self.found)], self.left_out)
+    def check(self, *others: Faults) -> None:
+        """Raise them all together, with those of other files, if there are any."""
+        held = (self, *others)
+        found = [f.found[k] for f in held for k in sorted(f.found)]
+        if found:
+            more = max(0, len(found) - FAULTS_MOST) + sum(f.left_out for f in held)
+            raise RulesError(found[:FAULTS_MOST], more)
--- a/violetdoor/match/load.py
+++ b/violetdoor/match/load.py
@@ -4,13 +4,13 @@
 
 import graphlib
 from collections.abc import Callable, Collection, Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any
 
 from violetdoor.match import tree
 from violetdoor.match.check import Checker, prefix
 from violetdoor.match.emit import Emitter
-from violetdoor.match.faults import FAULTS_MOST, Faults, RulesError, Span, shown
+from violetdoor.match.faults import Faults, Span, shown
 from violetdoor.match.grammar import parse, sorted_out
 from violetdoor.match.plan import Costs, Planner, RulePlan, terms_of, unreachable
 from violetdoor.match.prices import table
@@ -52,7 +52,6 @@
     text: str
     checker: Checker
     faults: Faults
-    plans: list[RulePlan] = field(default_factory=list)
 
     def ready(self) -> RuleSet:
         """The rules, ready to decide in this process."""
@@ -93,7 +92,7 @@
             faults.add(Span(len(text), len(text)), "expected a default: default { ... }", "the end")
         else:
             default = self.rule(source.defaults[0], offsets[id(source.defaults[0])], checker)
-        self.raise_all(faults, others)
+        faults.check(*others)
         assert default is not None
         plans = [RulePlan(r.name, terms_of(r.when)) for r in rules]
         planner = Planner(plans, checker.sets)
@@ -102,15 +101,7 @@
         faults.check()
         data = self.compile(rules, default, planner, checker, faults)
         faults.check()
-        return Loaded(data, rules, default, text, checker, faults, plans)
-
-    def raise_all(self, faults: Faults, others: list[Faults]) -> None:
-        """Raise the faults of the source and of the files that it names together."""
-        held = [faults, *others]
-        found = [f.found[k] for f in held for k in sorted(f.found)]
-        if found:
-            more = len(found) - FAULTS_MOST
-            raise RulesError(found[:FAULTS_MOST], max(0, more) + sum(f.left_out for f in held))
+        return Loaded(data, rules, default, text, checker, faults)
 
     def span(self, item: Any, offsets: dict[int, int]) -> Span:
         start = offsets[id(item)]
--- a/violetdoor/match/typed.py
+++ b/violetdoor/match/typed.py
@@ -5,15 +5,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
 from violetdoor.match import types as t
 from violetdoor.match.runtime import ENVIRONMENT
 
-Units = Callable[["Typed"], float]
-
 
 @dataclass(slots=True, eq=False)
 class Typed:
@@ -40,19 +38,6 @@
         """Whether its value is known at load."""
         return self.op == "const"
 
-    def parts(self) -> Iterator[Typed]:
-        """All parts below this one and itself, each once; those below come first."""
-        seen: set[int] = set()
-        todo: list[tuple[Typed, bool]] = [(self, False)]
-        while todo:
-            node, ready = todo.pop()
-            if ready:
-                yield node
-            elif node.number not in seen:
-                seen.add(node.number)
-                todo.append((node, True))
-                todo += [(a, False) for a in reversed(node.args)]
-
 
 @dataclass(slots=True, frozen=True)
 class Op:
--- /dev/null
+++ b/violetdoor/net/process.py
@@ -0,0 +1,13 @@
+"""What the system says of this process."""
+
+from __future__ import annotations
+
+import os
+
+PAGE = os.sysconf("SC_PAGE_SIZE")
+
+
+def resident() -> int:
+    """Bytes of memory that this process holds: proc(5), statm."""
+    with open("/proc/self/statm", "rb", buffering=0) as file:
+        return int(file.read().split()[1]) * PAGE
--- a/violetdoor/overload/demand.py
+++ b/violetdoor/overload/demand.py
@@ -59,13 +59,13 @@
         self.tenants[tenant] = None
         return tenant
 
-    def count(self, tenant: str, cls: str, weight: float = 1.0) -> str:
+    def count(self, tenant: str, cls: str) -> str:
         """One request; the name of its row."""
         name = self.name(tenant)
         row = self.rows.get((name, cls))
         if row is None:
             row = self.rows[name, cls] = Rate()
-        row.count += weight
+        row.count += 1
         return name
 
     def look(self, at: float, span: float, learn: bool) -> None:
--- a/violetdoor/overload/gate.py
+++ b/violetdoor/overload/gate.py
@@ -86,6 +86,10 @@
             return None
         return self._turn_away(cls, self.controller.demand.name(tenant), "late", self.place(client))
 
+    def passed(self, lines: int = 1) -> None:
+        """Lines or messages of standing connections were passed on."""
+        self.controller.costs.count("line", lines)
+
     def sent_away(self, count: int = 1) -> None:
         """Standing connections were moved or broke: their clients come again."""
         self._decay()
--- a/violetdoor/overload/measure.py
+++ b/violetdoor/overload/measure.py
@@ -1,7 +1,7 @@
 """Looks at the process: the thin part that measures, and carries out what the controller makes of it.
 
-Everything is read from /proc and the socket itself: 1 us each, where psutil takes 19 us for the memory and 25
-us for the times and costs 1.3 MB.
+Everything is read from /proc and the socket itself: 1 us each and 9 for the memory, where psutil takes 19 us
+for the memory and 25 us for the times and costs 1.3 MB.
 """
 
 from __future__ import annotations
@@ -19,6 +19,7 @@
 from hdrh.histogram import HdrHistogram
 
 from violetdoor.net.counters import Counters
+from violetdoor.net.process import resident
 from violetdoor.overload.controller import Level
 from violetdoor.overload.gate import Gate
 from violetdoor.overload.signals import Reading
@@ -32,7 +33,6 @@
 DELAY_MOST = 60_000_000  # us
 GROWTH = 1.0  # s, time constant of the memory's growth
 RELIEF_AFTER = 1.0  # s of memory pressure after which clients are moved, besides reading less
-PAGE = os.sysconf("SC_PAGE_SIZE")
 
 
 @dataclass(slots=True)
@@ -56,21 +56,18 @@
         self.delays = [HdrHistogram(1, DELAY_MOST, 2) for _ in range(2)]
         self.turned = time.monotonic()
         self.stat = os.open("/proc/self/schedstat", os.O_RDONLY)
-        self.memory = os.open("/proc/self/statm", os.O_RDONLY)
         self.longest, self.beats = 0.0, 0
         self.at = self.told = time.monotonic()
         self.cpu, self.wait = self._cpu(), self._waited()
-        self.resident, self.growth = self._resident(), 0.0
+        self.resident, self.growth = resident(), 0.0
         self.pressed_since: float | None = None
         self.due = self.at + BEAT
         self.timer = self.loop.call_later(BEAT, self._beat)
-        self.own = 0.0  # s of a core that measuring itself has taken
 
     def close(self) -> None:
         """Stop."""
         self.timer.cancel()
         os.close(self.stat)
-        os.close(self.memory)
 
     @staticmethod
     def _cpu() -> float:
@@ -81,9 +78,6 @@
         """Seconds for which the process was ready to run and another one ran: proc(5), schedstat."""
         return int(os.pread(self.stat, 128, 0).split()[1]) / 1e9
 
-    def _resident(self) -> float:
-        return int(os.pread(self.memory, 128, 0).split()[1]) * float(PAGE)
-
     def _backlog(self) -> float:
         """Part of the listening socket's queue that is taken: tcp_info's unacked and sacked of a listener."""
         info = self.sources.listener.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 64)
@@ -105,17 +99,17 @@
 
     def _look(self, now: float) -> None:
         span = max(1e-3, now - self.at)
-        cpu, wait, resident = self._cpu(), self._waited(), self._resident()
+        cpu, wait, held = self._cpu(), self._waited(), resident()
         part = min(1.0, span / GROWTH)
-        self.growth += ((resident - self.resident) / span - self.growth) * part
+        self.growth += ((held - self.resident) / span - self.growth) * part
         limit = self.memory_limit
         reading = Reading(
             now, self.longest, (cpu - self.cpu) / span, (wait - self.wait) / span,
-            (resident + self.sources.beside()) / limit if limit else 0.0,
+            (held + self.sources.beside()) / limit if limit else 0.0,
             self.growth / limit if limit else 0.0,
             self.sources.descriptors(), self._backlog(), self.sources.queued(), span,
         )  # fmt: skip
-        self.at, self.cpu, self.wait, self.resident, self.longest = now, cpu, wait, resident, 0.0
+        self.at, self.cpu, self.wait, self.resident, self.longest = now, cpu, wait, held, 0.0
         before = self.gate.controller.level
         level = self.gate.controller.look(reading)
         if level is not before:
@@ -128,7 +122,6 @@
             self.turned = now
             self.delays.reverse()
             self.delays[0].reset()
-        self.own += time.monotonic() - now
 
     def _relieve(self, now: float) -> None:
         """Under memory pressure read less from the fullest queues first, then move the least worthy."""
--- a/violetdoor/program.py
+++ b/violetdoor/program.py
@@ -169,11 +169,11 @@
 
     def apply(self, new: Config, core: Controller, front: LineFront | NatsFront) -> None:
         """Go over to a configuration that has passed every check, in one step."""
-        self.figures.know(new.deadlines)
-        core.reconfigure(new.settings, new.tells_delay)
         if new.rules is not None and self.rules is not None and not new.rules.same(self.rules.source):
             self.change(new, core, front, told=True)  # of the other process; all else comes with it
             return
+        self.figures.know(new.deadlines)
+        core.reconfigure(new.settings, new.tells_delay)
         if self.gate is not None:
             self.gate.worth({name: c.worth for name, c in new.settings.classes.items()})
         if isinstance(front, LineFront):
--- a/violetdoor/rules/schemas.py
+++ b/violetdoor/rules/schemas.py
@@ -6,8 +6,6 @@
 
 from violetdoor.match.types import Schema
 
-FRONTS = ("line", "nats")
-
 
 def schema_of(front: str) -> Schema:
     """What this front tells of a request."""
--- a/violetdoor/sharing.py
+++ b/violetdoor/sharing.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import os
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
@@ -11,18 +10,11 @@
 from violetdoor.fronts.line.front import LineFront
 from violetdoor.maintenance import Maintenance
 from violetdoor.net.discovery import Directory
+from violetdoor.net.process import resident
 
 if TYPE_CHECKING:
     from violetdoor.fronts.nats.front import NatsFront
 
-PAGE = os.sysconf("SC_PAGE_SIZE")
-
-
-def resident() -> int:
-    """Bytes of memory that this process holds."""
-    with open("/proc/self/statm", "rb") as file:
-        return int(file.read().split()[1]) * PAGE
-
 
 class Sharing:
     """Gives the state, takes what the other process says."""
