--- a/lynxdeck/policy.py
+++ b/lynxdeck/policy.py
@@ -548,7 +548,9 @@
         request = self.requests.get(event.request)
         if request is None or request.server is None:
             return
-        late, server = event.value > request.cls.message_aim / 2, request.server
+        server = request.server
+        # By the shortest aim, whichever connection carries the note: another's would tell a second later.
+        late = event.value > min(c.message_aim for c in self.settings.classes.values()) / 2
         if event.kind is i.NoteKind.LOAD:
             if request.hinted:
                 request.tenant.load += event.value - request.load
--- a/tests/test_line.py
+++ b/tests/test_line.py
@@ -18,6 +18,8 @@
 import pytest
 from standins import ROOT, Discovery, GateServer, Reader, Relay, Standin, Writer, relay, run, until
 
+from lynxdeck import interface as i
+from violetdoor.fronts.line.notes import Notes
 from violetdoor.fronts.line.opening import SyntaxFaultError, parse
 from violetdoor.net.logs import Limit
 
@@ -499,3 +501,36 @@
             names += [node.module or ""] if isinstance(node, ast.ImportFrom) else []
             for name in names:
                 assert not name.startswith(("violetdoor.net", "violetdoor.fronts", "socket")), (path, name)
+
+
+def test_load_line_that_tells_of_late_messages_moves_clients_off_its_server(tmp_path: Path) -> None:
+    """One word for two notes: a server that says how long its messages take lost its clients before."""
+
+    async def test() -> None:
+        slow = GateServer()
+        async with world(tmp_path, slow) as (it, _):
+            kept = [await opened(it) for _ in range(40)]  # each one stays with two chances in three
+            clients = [reader for reader, _ in kept]
+            assert {await line(reader) for reader in clients} == {b"UP r1\r\n"}
+            slow.writers[-1].write(b"LOAD 462.190\r\n")
+            lines = [asyncio.create_task(line(reader)) for reader in clients[:-1]]
+            done, _ = await asyncio.wait(lines, return_when=asyncio.FIRST_COMPLETED)
+            assert {task.result() for task in done} == {b"MOVE\r\n"}
+            counts = await it.counters()
+            assert counts["delay_lines"] == 1 and counts["moved"] >= 1
+
+    run(test)
+
+
+def test_load_and_delay_notes_are_told_apart() -> None:
+    notes = Notes()
+    load, delay = i.NoteKind.LOAD, i.NoteKind.DELAY
+    assert notes.kind("s", 1, 46_000.0, 0.0) is load
+    assert notes.kind("s", 1, 17.2, 0.0) is delay
+    assert notes.kind("s", 2, 2_100.0, 1_000.0) is delay  # it is known to be late
+    assert notes.kind("t", 3, 2_100.0, 1_000.0) is load
+    assert notes.kind("t", 4, 2_200.0, 1_500.0) is load  # of another connection
+    assert notes.kind("t", 4, 2_900.0, 2_500.0) is delay  # no load changes each second
+    assert notes.kind("u", 5, 3_000.0, 0.0) is notes.kind("u", 5, 3_100.0, 9_000.0) is load
+    assert notes.kind("t", 4, 90.0, 4_000.0) is delay
+    assert set(notes.late) == {"t"}  # what is long over is not kept
--- a/violetdoor/core/controller.py
+++ b/violetdoor/core/controller.py
@@ -103,9 +103,9 @@
         self._controller.stands(self)
         self._controller.handle(i.Established(self.id, self.attempt, self.server, latency))
 
-    def load(self, value: float) -> None:
-        """The connection's load now, in the unit of the hint."""
-        self._controller.handle(i.Note(self.id, self.attempt, self.server, i.NoteKind.LOAD, value))
+    def note(self, kind: i.NoteKind, value: float) -> None:
+        """The connection's load now, in the unit of the hint; or ms that a message takes at its server."""
+        self._controller.handle(i.Note(self.id, self.attempt, self.server, kind, value))
 
     def asked(self) -> None:
         """A message that wants an answer went to the server."""
--- a/violetdoor/fronts/line/front.py
+++ b/violetdoor/fronts/line/front.py
@@ -12,6 +12,7 @@
 from lynxdeck import interface as i
 from violetdoor.core import Controller
 from violetdoor.core.spread import due
+from violetdoor.fronts.line.notes import Notes
 from violetdoor.fronts.line.opening import TIMES_DEADLINE, Opening, RuledOutError, SyntaxFaultError, known
 from violetdoor.fronts.line.session import Session
 from violetdoor.net.acceptor import Acceptor
@@ -56,6 +57,7 @@
         self.core, self.directory, self.counts, self.figures = core, directory, counts, figures
         self.rules, self.gate = rules, gate
         self.leave_retry, self.idle = LEAVE_RETRY, 60.0
+        self.notes = Notes()
         busy = b"BUSY %d\r\n" % LEAVE_RETRY
         self.acceptor = Acceptor(address, self.session, counts, sockets, busy, listener)
         self.open: set[int] = set()  # ids of the connections that are served
--- a/violetdoor/fronts/line/session.py
+++ b/violetdoor/fronts/line/session.py
@@ -326,6 +326,13 @@
             if not await server.fill():
                 return
 
+    def note(self, ticket: Ticket, value: float) -> None:
+        """A LOAD line came: tell the core which of the two notes it is."""
+        kind = self.front.notes.kind(ticket.server, ticket.id, value, self.core.now())
+        late = kind is i.NoteKind.DELAY
+        self.front.counts["delay_lines"] += late
+        ticket.note(kind, value if late else value / 1000)
+
     def read_lines(self, ticket: Ticket, server: LineSocket, length: int) -> None:
         """Look at lines from the server: load, farewell, or the echo of a client's line."""
         start, buffer = 0, server.buffer
@@ -334,7 +341,7 @@
             if buffer.startswith(b"LOAD ", start):
                 self.front.counts["load_lines"] += 1
                 try:
-                    ticket.load(float(buffer[start + 5 : stop]) / 1000)
+                    self.note(ticket, float(buffer[start + 5 : stop]))
                 except ValueError:
                     log.warning("a LOAD line has no number")
             elif buffer.startswith((b"BYE", b"MOVE"), start):
