List calls spread by the fleet's size; refused connections leave a server at once

It takes about 8 calls a second; 40 relays ask within 1 s, the queue holds calls that have given up, and every retry adds one: nothing is served for 10 s. 28 relays that come back after a kill work from their old list until 16 to 25 s; 799 of their attempts go to servers that are gone. A renewal of a running watch never failed (1421 of 1421) and does not queue: the hold time is not to blame.

To blame: list_changed, whose first wait and back-off (at most 2.5 s) did not grow with `nodes`; distrust, which left a server that refuses connections 0.4 of its turns.

--- a/lynxdeck/policy.py
+++ b/lynxdeck/policy.py
@@ -15,6 +15,7 @@
 from lynxdeck import interface as i
 from lynxdeck.records import Request, Server, Tenant
 
+CALL = 125.0  # ms that one call keeps a list service busy that answers a few a second
 INTERVAL = 1_000.0  # ms between budgets: a few reports, far less than a connection's life
 SMOOTH, SPREAD = 0.3, 5 / 3  # newest part of the smoothed changes; the paper's multiple of the positive
 SMOOTH_ONE = 0.1  # part of one report or attempt in a mean of all: about ten remembered
@@ -117,8 +118,9 @@
     def list_changed(self, event: i.ServerList) -> None:
         ask = self.settings.ask_list and event.kind in (i.ListKind.REFUSED, i.ListKind.REMEMBERED)
         self.list_calls = self.list_calls + 1 if ask else 0
-        if ask:  # many nodes ask one service: spread the calls, back off, stay under the time allowed unasked
-            wait = min(self.settings.ask_within / 4, 500.0 * 2**self.list_calls)
+        if ask:  # all nodes ask one service together: spread the calls by its rate, back off, stay in time
+            most, spread = self.settings.ask_within / 2, CALL * self.settings.nodes
+            wait = min(max(most / 2, min(most, spread)), max(500.0, spread) * 2**self.list_calls)
             self.out.append(i.SetTimer("list", self.now + wait * self.random.random()))
         for entry in event.entries:
             server = self.servers.get(entry.server) or self.servers.setdefault(entry.server, Server(entry))
@@ -328,9 +330,9 @@
         """A retry goes elsewhere; a server that failed gets part of its turns."""
         return server not in request.tried and self.random.random() < server.health
 
-    def distrust(self, server: Server) -> None:
+    def distrust(self, server: Server, part: float = HEALTH_DOWN) -> None:
         """A server that fails fast looks empty, and the list misses a dead one late."""
-        server.health = max(HEALTH_LEAST, server.health * HEALTH_DOWN)
+        server.health = max(HEALTH_LEAST, server.health * part)
 
     def may_repeat(self, request: Request, server: Server) -> bool:
         """Whether the server drops the repeat of a keyed request that may have run."""
@@ -435,7 +437,7 @@
         server, request.server = request.server, None
         server.open.pop(request.id, None)
         if event.result in BAD:
-            self.distrust(server)
+            self.distrust(server, HEALTH_LEAST if event.result is i.Result.UNREACHABLE else HEALTH_DOWN)
         if timed_out := event.result is i.Result.TIMEOUT:
             self.late += SMOOTH_ONE * (1 - self.late)
         if event.report:
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,78 @@
+"""Fleets of modules in virtual time: what each does that is fine alone and must not hurt when all do it."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+
+import pytest
+from helpers import Node
+
+from lynxdeck import interface as i
+
+CALL_TIME, CALL_PATIENCE = 118.0, 2_000.0  # ms: a discovery that takes 8 calls a second and drops old ones
+
+
+class Discovery:
+    """Serves the calls of all nodes one after another; one that has waited too long fails, its work is done."""
+
+    def __init__(self) -> None:
+        self.free_at, self.served, self.failed = 0.0, 0, 0
+
+    def call(self, now: float) -> tuple[float, bool]:
+        """When the answer is there, and whether it brings the list."""
+        self.free_at = max(self.free_at, now) + CALL_TIME
+        late = self.free_at > now + CALL_PATIENCE
+        self.failed, self.served = self.failed + late, self.served + (not late)
+        return (now + CALL_PATIENCE, False) if late else (self.free_at, True)
+
+
+def ask_together(nodes: int, restarted: int) -> tuple[Discovery, float]:
+    """Many nodes start at one instant from a list they remember; until when the last has asked in vain."""
+    service, order = Discovery(), itertools.count()
+    fleet = [Node(servers=2, seed=n, nodes=nodes, ask_list=True) for n in range(restarted)]
+    due: list[tuple[float, int, Node, i.ListKind | None]] = []
+    for node in fleet:
+        heapq.heappush(due, (0.0, next(order), node, i.ListKind.REMEMBERED))
+    last = 0.0
+    while due:
+        now, _, node, answer = heapq.heappop(due)
+        last = max(last, now)
+        node.now = now
+        if answer is None:
+            at, fine = service.call(now)
+            heapq.heappush(due, (at, next(order), node, i.ListKind.CHANGES if fine else i.ListKind.REFUSED))
+            continue
+        for action in node.listed(*node.entries, kind=answer):
+            if isinstance(action, i.SetTimer) and action.token == "list":
+                heapq.heappush(due, (action.at, next(order), node, None))
+    return service, last
+
+
+@pytest.mark.parametrize(("nodes", "restarted"), [(1, 1), (2, 2), (8, 8), (40, 40), (40, 30)])
+def test_list_calls_of_a_fleet_stay_under_what_discovery_serves(nodes: int, restarted: int) -> None:
+    """Forty that ask within a second are served at a tenth of the rate: each failure is work and a new call."""
+    service, last = ask_together(nodes, restarted)
+    assert service.served == restarted
+    assert service.failed <= restarted / 10
+    assert last <= 7_500.0
+
+
+def test_few_nodes_still_ask_within_a_second() -> None:
+    for nodes in (1, 2, 4):
+        assert ask_together(nodes, nodes)[1] <= 1_000.0 + nodes * CALL_TIME
+
+
+def test_a_server_that_refuses_connections_is_left_at_once_until_it_had_time() -> None:
+    """The list tells of a dead server seconds late; each relay used to try it three times and more."""
+    node = Node(servers=4, max_attempts=3)
+    for request in range(1, 9):
+        node.ask(request)
+    dead = node.sent(1)[0]
+    for request in range(1, 9):
+        if node.sent(request)[-1] == dead:
+            node.end(request, i.Result.UNREACHABLE)
+    before = sum(a.server == dead for a in node.got(i.Send))
+    for request in range(10, 60):
+        node.ask(request)
+    assert sum(a.server == dead for a in node.got(i.Send)) <= before + 3
