--- a/lynxdeck/policy.py
+++ b/lynxdeck/policy.py
@@ -21,6 +21,7 @@
 SMOOTH_ONE = 0.1  # part of one report or attempt in a mean of all: about ten remembered
 TYPICAL, OVERLOAD = 0.6, 1.1  # where nothing reports load: the fleet's, that of a server with late messages
 LOAD_CLIP, LATE = 1.5, 0.3  # most of a report in the fleet's mean; share timed out that is not one server's
+FLEET_LEAST = 0.05  # load over capacity: no fleet is emptier than makes sense to reckon with
 CONTENDED, ROOM = 0.64, 0.75  # load over capacity: of the fleet, from which budgets bind; to fill up to
 PACE = 200.0  # ms that a usual connection waits per budget over
 TURNS = 4  # turns that one placement looks at
@@ -31,11 +32,11 @@
 CROSS_WEIGHT, GROUP_STEP = 5.0, 0.1  # load over capacity to gain by a crossing, a point; by the next home
 HEALTH_DOWN, HEALTH_UP, HEALTH_LEAST = 0.4, 1.25, 0.02  # part of turns: times a failure, an interval; least
 SLOW, SLOW_LEAST = 5.0, 25.0  # times the quickest server's set-up, and ms, from which one is overloaded
-PROBE_LATE, PROBE_LEAST, PROBE_SEVERE = 2.0, 4.0, 3.0  # times a server's quickest probe, and ms over it, from
-# which a probe is late; times that from which the server can hardly work at all
+LOOKS = 2  # servers that a placement probes where a probe has only its time to tell
+KIND_SPREAD, PROBE_JITTER = 1.25, 0.2  # times the quickest probe of its kind that an idle one's takes; ms
+TOLD = 1_200.0  # ms for which a delay that was told holds: it is told again each second
 OWN_PAUSE, PAUSED = 100.0, 3  # ms in which so many servers late and none in time are this node's own pause
 LOOK_EACH = 20  # own connections from which a server is looked at in every interval
-PROBE_SPREAD = 2.0  # times the quickest server's quickest probe that a sound one's may take
 MOVE_ABOVE, MOVE_PAUSE = 0.95, 2_500.0  # load over capacity from which a server sheds; ms until seen
 AVOIDED = 0.2  # part of its turns from which a server counts as avoided: it failed twice of late
 BAD = (i.Result.FULL, i.Result.RESET, i.Result.UNREACHABLE, i.Result.ERROR, i.Result.TIMEOUT)
@@ -175,9 +176,7 @@
         self.weight = max(1e-9, sum(s.entry.weight * self.ramp(s) for s in self.servers.values() if s.ready))
         active = [t for t in self.tenants.values() if t.load + t.missed + t.demand > 0]
         late = sum(s.load is not None for s in self.servers.values()) / max(1, len(self.servers))
-        if self.settings.probe_times:  # they tell early, and one server's trouble leaves room at the others
-            late **= 2
-        fleet = self.fleet or TYPICAL + (OVERLOAD - TYPICAL) * late
+        fleet = TYPICAL + (OVERLOAD - TYPICAL) * late if self.fleet is None else max(FLEET_LEAST, self.fleet)
         load = self.held() + sum(s.beside[0] for s in self.servers.values())
         if load > 0:
             unit = load * self.settings.nodes / (fleet * self.weight)
@@ -201,7 +200,7 @@
             if not self.settings.probes and server.report_at < self.now - 2 * INTERVAL:
                 server.load = None  # with its connections gone no note says that it has room again
             held = len(server.open)  # a probe has its price: it is worth more the more connections it watches
-            if self.settings.probe_times and (server.load or held > LOOK_EACH * self.random.random()):
+            if self.settings.probe_times and held > LOOK_EACH * self.random.random():
                 self.look(server)
         self.sent *= SMOOTH
 
@@ -268,8 +267,9 @@
 
     def place(self, request: Request) -> None:
         """Look at the servers of the next turns: the request goes to the one with the most room."""
+        look = self.look if self.settings.probe_times else self.probe
         request.turns = self.next_turns(request)
-        doubted = [s for s in request.turns if self.now - s.report_at > FRESH and self.probe(s)]
+        doubted = [s for s in request.turns if self.now - s.report_at > FRESH and look(s)]
         for server in doubted:
             server.waiting.append(request)
         if doubted:
@@ -281,8 +281,8 @@
         """The next turns of the own zone and of the others; a turn not used is over, none is saved up."""
         if request.ran is not None and request.cls.effect is not i.Effect.SAFE:
             return [s for s in self.servers.values() if self.may_repeat(request, s)][:TURNS]
-        found: list[Server] = []
-        while self.cold and self.cold[0][0] <= self.now and len(found) < TURNS // 2:
+        found, turns = list[Server](), LOOKS if self.settings.probe_times else TURNS
+        while self.cold and self.cold[0][0] <= self.now and len(found) < turns // 2:
             _, tie, start, server = heapq.heappop(self.cold)  # cold servers have turns in time, not in order
             if server.ready and self.ramp(server) < 1 and start == server.entry.started:  # one pace a start
                 gap = self.cold_gap(server, request.load) * self.random.uniform(0.5, 1.5)
@@ -290,10 +290,10 @@
                 if self.trusted(request, server):
                     found.append(server)
         if request.group is not None:
-            return (found + self.homes(request, request.group))[:TURNS]
+            return (found + self.homes(request, request.group))[:turns]
         for away, order in enumerate(self.orders):
-            want = TURNS if away or not self.orders[1] else (len(found) + TURNS) // 2
-            for _ in range(3 * TURNS):
+            want = turns if away or not self.orders[1] else (len(found) + turns) // 2
+            for _ in range(3 * turns):
                 if not order or len(found) >= want:
                     break
                 turn, tie, server = order[0]
@@ -386,7 +386,7 @@
             value = self.projected(server, request.load) + n * step
             if not server.ready or (server.load or 0.0) > room:  # without its own load, or heavy ones starve
                 continue
-            silent = self.settings.probes and self.now - server.report_at > 2 * FRESH  # cut off, dead
+            silent = server.probing or (self.settings.probes and self.now - server.report_at > 2 * FRESH)
             value += silent + price * (server.entry.zone != self.settings.zone)
             if value < least:
                 best, least = server, value
@@ -477,59 +477,55 @@
     # Probing, notes and moves.
 
     def probe(self, server: Server) -> bool:
-        if self.settings.probes and server.ready and not server.probing:
-            server.probing = True
-            self.out.append(i.Probe(server.name))
-        return server.probing
+        return self.settings.probes and self.look(server)
 
-    def look(self, server: Server) -> None:
-        """Probe for the time it takes; no placement waits for that."""
+    def look(self, server: Server) -> bool:
+        """Probe it; whether an answer is awaited."""
         if server.ready and not server.probing:
             server.probing = True
             self.out.append(i.Probe(server.name))
+        return server.probing
 
     def probed(self, event: i.Probed) -> None:
         if (server := self.servers.get(event.server)) is None:
             return
         server.probing = False
-        if self.settings.probe_times:
-            self.timed(server, event)
-        elif event.result is i.Result.OK:
-            self.report(server, event.report)
-        else:
+        if event.result is not i.Result.OK:
             self.distrust(server)
+        elif self.settings.probe_times:
+            self.timed(server, event.latency)
+        else:
+            self.report(server, event.report)
+        if server.probing:  # it is looked at once more
+            return
         waiting, server.waiting = server.waiting, []
         for request in waiting:
             if request.turns and not any(s.probing for s in request.turns):
                 self.choose(request)
 
-    def timed(self, server: Server, event: i.Probed) -> None:
-        """Where nothing reports load, a probe's time tells of it: it waits as a message does.
+    def timed(self, server: Server, latency: float) -> None:
+        """Where nothing reports load, a probe's time tells of it: how much longer than at an idle server.
 
-        Guards against an overloaded server that looks sound until it drops connections, and, by a second$
-        right after a late one, against taking a short pause of its process for overload.
+        Guards, by a second look right after a late one, against taking a short pause of its process for load.
         """
-        if event.result in (i.Result.UNREACHABLE, i.Result.RESET):
-            self.distrust(server)
-            return
-        if event.result is i.Result.OK:
-            server.quick = min(server.quick, event.latency)
-        base = min(server.quick, PROBE_SPREAD * min(s.quick for s in self.servers.values()))
-        over = event.latency / max(PROBE_LATE * base, PROBE_LEAST + base)
-        if over <= 1:
-            self.sound_at = self.now
-            if server.doubted:  # else what it is held for was told otherwise
-                server.doubted, server.load = False, None
+        server.quick = min(server.quick, latency)
+        kind = min(s.quick for s in self.servers.values() if s.entry.kind == server.entry.kind)
+        base = min(server.quick, KIND_SPREAD * kind)
+        slow = max(0.0, latency - PROBE_JITTER - base) / base
+        load = 2 * (math.sqrt(slow * slow + slow) - slow)  # of four cores and one queue, nearly
+        if load < ROOM:
+            self.sound_at, server.doubted = self.now, False
+            if self.now - server.told_at > TOLD:  # else its messages still wait for work piled up
+                self.report(server, {"load": load})
             return
         server.late_at, since = self.now, self.now - OWN_PAUSE
-        if not server.doubted:
-            server.doubted = True
+        if server.doubted and (
+            self.sound_at > since or sum(s.late_at > since for s in self.servers.values()) < PAUSED
+        ):  # else it is the node's own pause: guards against emptying sound servers
+            self.report(server, {"load": max(load, server.load or 0.0)})
+        server.doubted = not server.doubted
+        if server.doubted:
             self.look(server)
-        elif self.sound_at > since or sum(s.late_at > since for s in self.servers.values()) < PAUSED:
-            server.load, server.report_at = OVERLOAD if over < PROBE_SEVERE else LOAD_CLIP, self.now
-            self.shed(server, server.load)
-        elif server.load is None:  # the node's own pause: guards against emptying sound servers
-            server.doubted = False
 
     def report(self, server: Server, values: Mapping[str, float]) -> None:
         server.report_at, load = self.now, values.get("load", values.get("util"))
@@ -559,6 +555,7 @@
                 request.load = event.value
         elif not self.settings.probes:  # the delay is all that tells of its load
             server.load, server.report_at = OVERLOAD if late else None, self.now
+            server.told_at = self.now if late else -math.inf
             self.shed(server, server.load or 0.0)
         elif late and self.now - server.report_at > RECENT:
             self.probe(server)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -9,6 +9,7 @@
 from helpers import Node
 
 from lynxdeck import interface as i
+from lynxdeck import policy
 
 CALL_TIME, CALL_PATIENCE = 118.0, 2_000.0  # ms: a discovery that takes 8 calls a second and drops old ones
 
@@ -76,3 +77,35 @@
     for request in range(10, 60):
         node.ask(request)
     assert sum(a.server == dead for a in node.got(i.Send)) <= before + 3
+
+
+def test_a_placement_looks_before_it_joins_a_server_that_others_have_filled() -> None:
+    """Each of forty relays holds one connection of a group; only a look tells what all have sent to its home."""
+    homes: set[str] = set()
+    for seed in range(40):
+        node = Node(servers=6, seed=seed, nodes=40, probe_times=True)
+        for request, busy in ((1, frozenset[str]()), (2, frozenset(homes))):
+            node.now += 2_000.0
+            node.ask(request, group=7)
+            while probes := node.got(i.Probe):
+                assert len(probes) <= 2  # each has its price
+                for p in probes:
+                    node.log.remove(p)
+                    node.at(node.now + 2.0, i.Probed(p.server, i.Result.OK, 8.0 if p.server in busy else 2.0))
+            (server,) = node.sent(request)
+            assert server not in busy
+            if request == 1:
+                homes.add(server)
+        assert len(homes) == 1  # alike at all relays while nothing is known
+
+
+def test_a_told_delay_outlasts_a_quick_probe() -> None:
+    """Messages wait for piled-up work that a probe does not wait for."""
+    node = Node(servers=2, probe_times=True)
+    node.balancer.look(server := node.balancer.servers["s0"])
+    node.at(1.0, i.Probed("s0", i.Result.OK, 2.0))
+    server.told_at, server.load = 1.0, policy.OVERLOAD
+    node.at(2.0, i.Probed("s0", i.Result.OK, 2.0))
+    assert server.load == policy.OVERLOAD
+    node.at(1.0 + policy.TOLD + 1.0, i.Probed("s0", i.Result.OK, 2.0))
+    assert server.load < 0.5
