--- a/lynxdeck/policy.py
+++ b/lynxdeck/policy.py
@@ -29,7 +29,7 @@
 OWN_MOST = 0.3  # load over capacity own sends may count for: a node with few connections guesses it badly
 COLD_PART = 0.4  # part used of the multiple at which a cold server falls: the rest is for chance
 PROBE_WAIT, LOOK_AGAIN = 60.0, 100.0  # ms a placement waits for probes; until it looks on for room
-CROSS_WEIGHT, GROUP_STEP = 5.0, 0.1  # load over capacity to gain by a crossing, a point; by the next home
+CROSS_WEIGHT, GROUP_STEP = 5.0, 0.4  # load over capacity to gain by a crossing, a point; by the next home
 HEALTH_DOWN, HEALTH_UP, HEALTH_LEAST = 0.4, 1.25, 0.02  # part of turns: times a failure, an interval; least
 SLOW, SLOW_LEAST = 5.0, 25.0  # times the quickest server's set-up, and ms, from which one is overloaded
 LOOKS = 2  # servers that a placement probes where a probe has only its time to tell
@@ -548,7 +548,8 @@
             return
         server = request.server
         # By the shortest aim, whichever connection carries the note: another's would tell a second later.
-        late = event.value > min(c.message_aim for c in self.settings.classes.values()) / 2
+        aim = min(c.message_aim for c in self.settings.classes.values())
+        late = event.value > aim / 2
         if event.kind is i.NoteKind.LOAD:
             if request.hinted:
                 request.tenant.load += event.value - request.load
@@ -556,6 +557,7 @@
         elif not self.settings.probes:  # the delay is all that tells of its load
             server.load, server.report_at = OVERLOAD if late else None, self.now
             server.told_at = self.now if late else -math.inf
-            self.shed(server, server.load or 0.0)
+            if event.value > aim:
+                self.shed(server, OVERLOAD)
         elif late and self.now - server.report_at > RECENT:
             self.probe(server)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -109,3 +109,31 @@
     assert server.load == policy.OVERLOAD
     node.at(1.0 + policy.TOLD + 1.0, i.Probed("s0", i.Result.OK, 2.0))
     assert server.load < 0.5
+
+
+def test_a_group_stays_together_while_its_first_home_has_room() -> None:
+    """Each server that holds any of a group pays for it: spread over thirteen, groups cost as much as all clients."""
+    node = Node(servers=6, nodes=40, probe_times=True)
+    for n in range(6):
+        node.at(1.0, i.Probed(f"s{n}", i.Result.OK, 2.0))
+    first = ""
+    for request in range(1, 9):
+        node.now += 2_000.0
+        node.ask(request, group=7)
+        for p in node.got(i.Probe):
+            node.log.remove(p)
+            node.at(node.now, i.Probed(p.server, i.Result.OK, 2.3 if p.server == first else 2.0))  # load 0.36
+        first = first or node.sent(request)[0]
+        assert node.sent(request) == [first]
+
+
+def test_messages_that_are_late_but_in_time_bar_a_server_and_move_nobody() -> None:
+    """At 30 of 50 ms all is still served: forty relays that each move a third off at once empty the server."""
+    node = Node(servers=1)
+    for request in range(1, 41):
+        node.ask(request)
+        node.up(request)
+    node.at(node.now, i.Note(1, 0, "s0", i.NoteKind.DELAY, 30.0))
+    assert not node.got(i.Move) and node.balancer.avoided() == {"s0"}
+    node.at(node.now, i.Note(1, 0, "s0", i.NoteKind.DELAY, 60.0))
+    assert node.got(i.Move)
