--- a/lynxdeck/policy.py
+++ b/lynxdeck/policy.py
@@ -37,7 +37,7 @@
 TOLD = 1_200.0  # ms for which a delay that was told holds: it is told again each second
 OWN_PAUSE, PAUSED = 100.0, 3  # ms in which so many servers late and none in time are this node's own pause
 LOOK_EACH = 20  # own connections from which a server is looked at in every interval
-MOVE_ABOVE, MOVE_PAUSE = 0.95, 2_500.0  # load over capacity from which a server sheds; ms until seen
+MOVE_ABOVE, MOVE_PAUSE, MOVE_MOST = 0.95, 2_500.0, 0.5  # load from which a server sheds; ms until seen; part
 AVOIDED = 0.2  # part of its turns from which a server counts as avoided: it failed twice of late
 BAD = (i.Result.FULL, i.Result.RESET, i.Result.UNREACHABLE, i.Result.ERROR, i.Result.TIMEOUT)
 
@@ -414,7 +414,7 @@
                 self.look(server)
         elif server.setup > slow:
             server.load, server.report_at = OVERLOAD, self.now
-            self.shed(server, OVERLOAD)
+            self.shed(server, 1 - ROOM / OVERLOAD)
 
     def abandoned(self, event: i.Abandoned) -> None:
         if request := self.requests.get(event.request):
@@ -532,15 +532,14 @@
         if load is not None:
             server.load, clipped = load, min(LOAD_CLIP, load)
             self.fleet = clipped if self.fleet is None else self.fleet + SMOOTH_ONE * (clipped - self.fleet)
-            self.shed(server, load)
+            self.shed(server, 1 - ROOM / load if load >= MOVE_ABOVE else 0.0)
 
-    def shed(self, server: Server, load: float) -> None:
+    def shed(self, server: Server, part: float) -> None:
         """Guards against a slowed server that keeps what it has; each node moves its part."""
-        if load >= MOVE_ABOVE and self.now - server.moved_at >= MOVE_PAUSE:
-            for request in server.open.values():
-                if self.random.random() < 1 - ROOM / load:
-                    server.moved_at = self.now
-                    self.out.append(i.Move(request.id))
+        if self.now - server.moved_at >= MOVE_PAUSE:
+            going = [r for r in server.open if self.random.random() < part]
+            self.out += map(i.Move, going)
+            server.moved_at = self.now if going else server.moved_at
 
     def note(self, event: i.Note) -> None:
         request = self.requests.get(event.request)
@@ -555,9 +554,11 @@
                 request.tenant.load += event.value - request.load
                 request.load = event.value
         elif not self.settings.probes:  # the delay is all that tells of its load
+            before = server.told if self.now - server.told_at <= TOLD else 0.0  # growth is excess
+            over = 1 + max(0.0, event.value - before) / INTERVAL
             server.load, server.report_at = OVERLOAD if late else None, self.now
-            server.told_at = self.now if late else -math.inf
-            if event.value > aim:
-                self.shed(server, OVERLOAD)
+            server.told, server.told_at = event.value, self.now if late else -math.inf
+            if event.value > aim:  # what is piled up is to be gone when next is looked
+                self.shed(server, min(MOVE_MOST, 1 - max(0.0, 1 - event.value / MOVE_PAUSE) / over))
         elif late and self.now - server.report_at > RECENT:
             self.probe(server)
--- a/lynxdeck/records.py
+++ b/lynxdeck/records.py
@@ -43,6 +43,7 @@
     quick: float = math.inf  # ms of its quickest probe
     doubted: bool = False  # its last probe was late
     late_at: float = -math.inf  # when that was
+    told: float = 0.0  # ms that a message took there when that was last told
     told_at: float = -math.inf  # when it was last told that its messages are late
     cold_since: float = 0.0  # the start for which it has cold turns
     moved_at: float = -math.inf
