A number of relays that is none is refused; full fleet run 0.831, later panel 0.961

Shares of cold servers and the spread of list calls divide by `balancers`; 0 or text in its place read as it stood and failed inside the module. It is checked with the other settings now: one error with its name, 1 if absent.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -5,11 +5,13 @@
 import heapq
 import itertools
 
+import msgspec
 import pytest
 from helpers import Node
 
 from lynxdeck import interface as i
 from lynxdeck import policy
+from violetdoor import settings as forms
 
 CALL_TIME, CALL_PATIENCE = 118.0, 2_000.0  # ms: a discovery that takes 8 calls a second and drops old ones
 
@@ -150,3 +152,11 @@
         node.at(node.now, i.Note(1, 0, "s0", i.NoteKind.DELAY, delay))
         moved.append(len(node.got(i.Move)) / 200)
     assert moved[0] < 0.16 < moved[1] < 0.45 and moved[1] < moved[2] < 0.6
+
+
+@pytest.mark.parametrize("balancers", [0, -1, "many", 1.5])
+def test_a_number_of_relays_that_is_none_is_refused(balancers: object) -> None:
+    facts = {"classes": [{"name": "a", "goalTime": 1.0, "hardLimit": 2.0}], "policyLimits": {"sendCap": 1}}
+    assert msgspec.convert(facts, forms.Facts).balancers == 1  # absent: this relay alone
+    with pytest.raises(msgspec.ValidationError, match="balancers"):
+        msgspec.convert(facts | {"balancers": balancers}, forms.Facts)
--- a/violetdoor/settings.py
+++ b/violetdoor/settings.py
@@ -59,6 +59,7 @@
     policyLimits: PolicyLimits
     familyInfo: FamilyInfo = field(default_factory=FamilyInfo)
     accounts: list[Account] | None = None
+    balancers: Count = 1  # relays that share the servers; absent: this one alone
 
 
 class Limits(Struct):
