A pushed list is watched from the start: the module never asks for one

Cause: `list_changed` asks only where the settings say that lists are asked for, and `Watch.follow` was started by the module's `Follow` alone. Where lists are pushed the relay served from the list of its start. Ruled out: a failed call (the counter of failures was 0 too) and a lost answer (no connection to the agent was ever opened).

An agent that comes back behind what it had told is asked for the whole list, and an older line brings no work back to a server that was told to drain.

--- a/tests/standins.py
+++ b/tests/standins.py
@@ -91,6 +91,7 @@
     def __init__(self, *servers: Standin) -> None:
         super().__init__()
         self.servers, self.version, self.calls, self.broken = servers, 1, 0, False
+        self.behind = False  # it says at once that there is nothing new to one that knows more than itself
         self.states = {s.address: "up" for s in servers}
         self.changed = asyncio.Event()
         self.asked: list[int | None] = []  # the version of each call, None for the whole list
@@ -118,10 +119,13 @@
             if self.broken:
                 writer.write(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
                 continue
-            if asked and int(asked[1]) >= self.version:
+            answer: dict[str, Any] = {}
+            if asked and self.behind and int(asked[1]) > self.version:
+                answer = {"full": False, "servers": []}
+            elif asked and int(asked[1]) >= self.version:
                 with contextlib.suppress(TimeoutError):
                     await asyncio.wait_for(self.changed.wait(), int(asked[2]) / 1000)
-            body = json.dumps(self.listed()).encode()
+            body = json.dumps(self.listed() | answer).encode()
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
 
 
--- a/tests/test_line.py
+++ b/tests/test_line.py
@@ -180,6 +180,86 @@
     run(test)
 
 
+async def answer(it: Relay) -> bytes:
+    """What a client that opens now gets first."""
+    reader, writer = await opened(it)
+    try:
+        return await line(reader)
+    finally:
+        writer.close()
+
+
+PUSHED: dict[str, Any] = SETTINGS | {"discovery": "pushed"}
+
+
+def test_a_pushed_list_is_watched_from_the_start_and_over_every_failure_of_its_agent(tmp_path: Path) -> None:
+    """Guards against serving from the list of the own start: where lists are pushed the module never asks."""
+
+    async def test() -> None:
+        one, two = GateServer(), GateServer()
+        async with one, two, Discovery(one, two) as agent:
+            agent.version = 41
+            async with front(tmp_path, agent, settings=PUSHED) as it:
+                await until(lambda: agent.asked == [41])  # nobody has connected yet
+                agent.tell(one, "draining")
+                await until(lambda: agent.asked == [41, 42])
+                for _ in range(5):
+                    assert await answer(it) == b"UP r1\r\n"
+                assert len(two.opened) == 5 and not one.opened
+                # It breaks, and comes back behind what it had told: the drain stays, what is new is heard.
+                agent.version, agent.asked, agent.behind = 7, [], True
+                agent.states[one.address] = "up"
+                agent.cut()
+                await until(lambda: None in agent.asked and agent.asked[-1] == 7)
+                for _ in range(5):
+                    assert await answer(it) == b"UP r1\r\n"
+                assert len(two.opened) == 10 and not one.opened
+                agent.tell(two, "draining")
+                await until(lambda: agent.asked[-1] == 8)
+                assert (await answer(it)).startswith(b"BUSY ")
+                # It answers nothing but faults for a while, and is asked on without a word to the module.
+                agent.broken, calls, agent.version = True, agent.calls, 50
+                agent.tell(one, "up")
+                await until(lambda: agent.calls >= calls + 3)
+                agent.broken = False
+                await until(lambda: agent.asked[-1] == 51)
+                assert await answer(it) == b"UP r1\r\n"
+
+    run(test)
+
+
+def test_sighup_goes_over_from_asking_to_a_pushed_list_and_back(tmp_path: Path) -> None:
+    async def test() -> None:
+        patient = SETTINGS | {"rules": {"askWithin": 60_000.0}}
+        async with (
+            GateServer() as one, Discovery(one) as asked, Discovery(one) as agent,
+            front(tmp_path, asked, settings=patient) as it,
+        ):  # fmt: skip
+            config = json.loads((tmp_path / "config.json").read_text())
+            config |= {"discovery": agent.address, "settings": config["settings"] | {"discovery": "pushed"}}
+            (tmp_path / "config.json").write_text(json.dumps(config))
+            it.process.send_signal(signal.SIGHUP)
+            await until(lambda: agent.asked == [None, 1])
+            agent.broken = True
+            agent.tell(one, "draining")
+            await until(lambda: agent.calls > 4)
+            agent.broken = False
+            await until(lambda: agent.asked[-1] == 2)
+            config["settings"]["discovery"] = "on_request"
+            (tmp_path / "config.json").write_text(json.dumps(config))
+            it.process.send_signal(signal.SIGHUP)
+            await until(lambda: it.logged("reloaded") == 2)
+            failed = await settled(it, "discovery_failed")
+            agent.broken = True
+            agent.tell(one, "up")
+            while await settled(it, "discovery_failed") == failed:
+                pass
+            calls = agent.calls
+            assert await settled(it, "discovery_failed") == failed + 1 and agent.calls == calls
+
+    run(test)
+
+
 def test_list_of_version_0_is_watched_not_fetched(tmp_path: Path) -> None:
     """Guards against taking version 0 for no version and asking for the whole list all the time."""
 
--- a/violetdoor/program.py
+++ b/violetdoor/program.py
@@ -185,6 +185,7 @@
             where = "discovery at {}:{}".format(*new.discovery)
             if new.discovery != self.watch.address:  # else all relays of a site would ask anew together
                 self.watch.go_over(new.discovery)
+            self.watch.push(not new.settings.ask_list)
         else:
             core.listed(self.directory.read(new.known, i.ListKind.COMPLETE))
         changed = ", ".join(self.config.fixed_changes(new)) or "nothing"
@@ -264,7 +265,7 @@
         known = {n: state["knowledge"][n] for n in ("fleet", "unit", "quickest", "late")}
         core.take_over(i.Knowledge(**known, servers=servers), entries)
         self.directory.addresses = {name: (host, port) for name, (host, port) in state["addresses"].items()}
-        self.directory.version = state["version"]
+        self.directory.go_on(state["version"], entries.values())
 
     async def meet_others(
         self, core: Controller, front: LineFront | NatsFront, maintenance: Maintenance
@@ -302,6 +303,8 @@
             watch = self.watch = Watch(config.discovery, self.directory, core.listed, self.counts)
             core.follow = watch.follow
         self.begin_list(core)
+        if watch is not None:
+            watch.push(not config.settings.ask_list)
         front = self.front(core)
         self.figures.gauges["pool_size"] = lambda: len(core.entries)
         self.figures.gauges["pool_ejected"] = core.avoided
