Probes ask for the load where the settings say that they bring a report

A probe there was sent as PING and answered PONG; the module waits for a report with each and got none, so every server stayed unknown to it. Cause: `LineFront.probe` always wrote PING. Found by a relay that logged its settings and what STATS brings: the fields have the names of the settings' report columns, `PONG waiting=0,active=21.602,cpu=0.979,x0=0.944`, or none yet.

Change: STATS where the settings' probes bring reports; the report is also read behind BYE, ERR and BUSY and given to the module with the outcome. One that is not wholly sound counts for nothing.

The test of probes fails without the change.

--- a/tests/standins.py
+++ b/tests/standins.py
@@ -69,13 +69,14 @@
         self.opened: list[bytes] = []
         self.ended = 0
         self.probes, self.pong_after = 0, 0.0
+        self.report = b""  # what STATS brings, as b" x0=0.5"
 
     async def serve(self, reader: Reader, writer: Writer) -> None:
         first = await reader.readline()
-        if first == b"PING\r\n":
+        if first in (b"PING\r\n", b"STATS\r\n"):
             self.probes += 1
             await asyncio.sleep(self.pong_after)
-            writer.write(b"PONG\r\n")
+            writer.write(b"PONG%b\r\n" % (self.report if first == b"STATS\r\n" else b""))
             return
         self.opened.append(first)
         writer.write(self.first)
--- a/tests/test_line.py
+++ b/tests/test_line.py
@@ -21,6 +21,7 @@
 from lynxdeck import interface as i
 from violetdoor.fronts.line.notes import Notes
 from violetdoor.fronts.line.opening import SyntaxFaultError, parse
+from violetdoor.fronts.line.reports import load_report
 from violetdoor.net.logs import Limit
 
 SETTINGS: dict[str, Any] = {
@@ -228,6 +229,56 @@
     run(test)
 
 
+REPORTED: dict[str, Any] = {
+    "report": {"columns": ["waiting", "active", "cpu", "x0"], "how": "probe"},
+    "policyLimits": SETTINGS["policyLimits"] | {"probes": True},
+}
+
+
+def test_probes_bring_the_load_that_servers_report(tmp_path: Path) -> None:
+    """Guards against probes by PING where the settings say that a probe brings a report: no load was known."""
+
+    async def test() -> None:
+        idle, full = GateServer(), GateServer()
+        idle.report, full.report = (b" waiting=0,active=3.5,cpu=0.2,x0=%b" % x for x in (b"0.21", b"0.9"))
+        async with world(tmp_path, idle, full, **REPORTED) as (it, _):
+            held = [await opened(it, b"c=checkin,t=acme,d=1000") for _ in range(12)]
+            assert [await line(reader) for reader, _ in held] == [b"UP r1\r\n"] * 12
+            assert len(idle.opened) == 12 and not full.opened and idle.probes and full.probes
+
+    run(test)
+
+
+def test_a_server_that_reports_its_load_with_busy_gets_nothing_more(tmp_path: Path) -> None:
+    async def test() -> None:
+        full, idle = GateServer(first=b"BUSY x0=1.4\r\n"), GateServer()
+        async with world(tmp_path, full, idle, **REPORTED) as (it, _):
+            for _ in range(20):
+                assert await answer(it) == b"UP r1\r\n"
+            assert len(full.opened) <= 2  # those that were out together with the first
+
+    run(test)
+
+
+@pytest.mark.parametrize(
+    ("line", "report"),
+    [
+        (b"PONG waiting=2,active=7.25,cpu=0.61,x0=1.2\r\n", {"queue": 2.0, "inflight": 7.25, "util": 0.61, "load": 1.2}),
+        (b"BYE later=3\r\n", {"later": 3.0}),
+        (b"PONG\r\n", {}),
+        (b"PONG \r\n", {}),
+        (b"PONG x0=nan\r\n", {}),
+        (b"PONG x0=-1\r\n", {}),
+        (b"PONG cpu=0.1,x0=\r\n", {}),
+        (b"PONG cpu=0.1,x0", {}),
+        (b"PONG x0=\xff\r\n", {}),
+        (b"PONG " + b",".join(b"f%d=1" % n for n in range(40)), {}),
+    ],
+)
+def test_a_report_that_is_not_wholly_sound_counts_for_nothing(line: bytes, report: dict[str, float]) -> None:
+    assert load_report(line) == report
+
+
 def test_sighup_goes_over_from_asking_to_a_pushed_list_and_back(tmp_path: Path) -> None:
     async def test() -> None:
         patient = SETTINGS | {"rules": {"askWithin": 60_000.0}}
--- a/violetdoor/core/controller.py
+++ b/violetdoor/core/controller.py
@@ -11,8 +11,9 @@
 import logging
 import math
 from collections import deque
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from dataclasses import dataclass, replace
+from types import MappingProxyType
 from typing import Protocol, TypeVar
 
 from lynxdeck import interface as i
@@ -118,14 +119,16 @@
             self._controller.answered_at[self.server] = now
             self._controller.delays.add(self.server, now - self.unanswered.popleft())
 
-    def ended(self, result: i.Result, final: bool = False) -> None:
-        """The attempt is over; final where nothing more is owed."""
+    def ended(
+        self, result: i.Result, final: bool = False, report: Mapping[str, float] = MappingProxyType({})
+    ) -> None:
+        """The attempt is over, with what its server said of its load; final where nothing more is owed."""
         if not self._out:
             return
         self._out = False
         self.over = self.over or final
         latency = self._controller.now() - self._sent_at
-        outcome = i.Outcome(self.id, self.attempt, self.server, result, latency, final)
+        outcome = i.Outcome(self.id, self.attempt, self.server, result, latency, final, report)
         self._controller.handle(outcome)
         if final:
             self._controller.forget(self)
--- a/violetdoor/fronts/line/front.py
+++ b/violetdoor/fronts/line/front.py
@@ -6,7 +6,7 @@
 import logging
 import socket
 from collections import OrderedDict, deque
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import TYPE_CHECKING
 
 from lynxdeck import interface as i
@@ -14,6 +14,7 @@
 from violetdoor.core.spread import due
 from violetdoor.fronts.line.notes import Notes
 from violetdoor.fronts.line.opening import TIMES_DEADLINE, Opening, RuledOutError, SyntaxFaultError, known
+from violetdoor.fronts.line.reports import load_report
 from violetdoor.fronts.line.session import Session
 from violetdoor.net.acceptor import Acceptor
 from violetdoor.net.counters import Counters
@@ -161,9 +162,15 @@
         return client.reset
 
     async def probe(self, server: str) -> i.Probed:
-        """Check that a server answers."""
+        """Check that a server answers, and ask it for its load where the settings say that this is told.
+
+        Guards against probes that bring no report to a module that waits for one: it would know of no server
+        how full it is, and would take every one for new.
+        """
         self.counts["probes"] += 1
         began, result = self.core.now(), i.Result.UNREACHABLE
+        report: Mapping[str, float] = {}
+        word = b"STATS\r\n" if self.core.settings.probes else b"PING\r\n"
         if address := self.directory.addresses.get(server):
             try:
                 link = LineSocket(await connect(address, self.connect_timeout))
@@ -172,9 +179,10 @@
                 return i.Probed(server, result, self.core.now() - began)
             try:
                 async with asyncio.timeout(PROBE_TIMEOUT):
-                    await send_parts(link.sock, [b"PING\r\n"])
+                    await send_parts(link.sock, [word])
                     length = await link.line()
                 result = i.Result.OK if link.buffer[:length].startswith(b"PONG") else i.Result.ERROR
+                report = load_report(bytes(link.buffer[:length]))
             except TimeoutError:
                 result = i.Result.TIMEOUT
             except (OSError, LineTooLongError):
@@ -182,7 +190,7 @@
             finally:
                 link.close()
         self.counts["probes_failed"] += result is not i.Result.OK
-        return i.Probed(server, result, self.core.now() - began)
+        return i.Probed(server, result, self.core.now() - began, report)
 
     @property
     def succeeded(self) -> bool:
--- a/violetdoor/fronts/line/session.py
+++ b/violetdoor/fronts/line/session.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import logging
+from collections.abc import Mapping
 from typing import TYPE_CHECKING
 
 from lynxdeck import interface as i
 from violetdoor.core import Left, Ticket
 from violetdoor.fronts.line.opening import Opening, RuledOutError, SyntaxFaultError, parse
+from violetdoor.fronts.line.reports import load_report
 from violetdoor.net.sockets import LineSocket, LineTooLongError, connect, send_parts
 
 if TYPE_CHECKING:
@@ -36,6 +38,7 @@
         self.answered = False  # the one final answer is given
         self.cls = ""  # once the first line has told it
         self.farewell = ""  # BYE or MOVE, once the server said it
+        self.report: Mapping[str, float] = {}  # that came with a server's last word
 
     async def run(self) -> None:
         """Answer a first line: a check of the front, or a request."""
@@ -143,7 +146,7 @@
                         return
                     if self.gone.done():
                         ticket.left()
-                    ticket.ended(result)
+                    ticket.ended(result, report=self.report)
 
     async def bring_back(self, opening: Opening) -> None:
         """Bring up a connection that was open at a known server before this program ran."""
@@ -195,6 +198,7 @@
 
     async def try_server(self, opening: Opening, server: str, give_up: float, named: bool) -> i.Result:
         """Connect, send the line, wait for its answer."""
+        self.report = {}
         left = (give_up - self.core.now()) / 1000
         address = self.front.directory.addresses.get(server)
         if address is None or left <= 0:
@@ -227,6 +231,7 @@
                 return i.Result.OK
             if not length:
                 return i.Result.RESET
+            self.report = load_report(bytes(link.buffer[:length]))
             return i.Result.FULL if word == b"BUSY" else i.Result.ERROR
         except LineTooLongError:
             return i.Result.ERROR
@@ -251,7 +256,7 @@
                 server = self.server
                 ended = {"BYE": i.Result.OK, "MOVE": i.Result.CANCELLED}.get(self.farewell, i.Result.RESET)
                 counts[f"ended_{ended.value}"] += 1
-                ticket.ended(ended, final=True)
+                ticket.ended(ended, final=True, report=self.report)
                 self.client.reset = server is not None and server.reset
                 if front.gate is not None and ended is not i.Result.OK:
                     front.gate.sent_away()
@@ -346,6 +351,7 @@
                     log.warning("a LOAD line has no number")
             elif buffer.startswith((b"BYE", b"MOVE"), start):
                 self.farewell = buffer[start:stop].split()[0].decode()
+                self.report = load_report(bytes(buffer[start:stop]))
             elif buffer.startswith(b"UP ", start):
                 pass
             else:
