--- a/violetdoor/cli/commands.py
+++ b/violetdoor/cli/commands.py
@@ -38,7 +38,7 @@
 @click.option("--config", "path", type=FILE, help="An operator's file, TOML or JSON; else BALANCER_CONFIG.")
 def serve(path: Path | None) -> int:
     """Start a relay and serve until SIGTERM."""
-    from violetdoor.__main__ import begin
+    from violetdoor.serve import begin
 
     return begin(path)
 
--- a/violetdoor/config.py
+++ b/violetdoor/config.py
@@ -50,6 +50,8 @@
     console: Address | None = None  # where operators call; none: nowhere
     nats: NatsOptions | None = None  # none: the front is that of the line protocol
     overload: forms.Overload | None = None  # none: nobody is turned away for the relay's own load
+    fleet: forms.Fleet | None = None  # none: this relay knows of no other; its files' paths are whole
+    log: str = "plain"
     rules: RulesSource | None = None  # none: requests are what they say they are
 
     @property
@@ -57,9 +59,14 @@
         """The classes' deadlines, ms."""
         return self.line.deadlines
 
+    @property
+    def front(self) -> str:
+        """The one front that the program has."""
+        return "line" if self.nats is None else "nats"
+
     def fixed_changes(self, new: Config) -> list[str]:
         """What is different in a newer configuration and takes a restart."""
-        names = ("name", "listen", "console", "sockets", "overload")
+        names = ("name", "listen", "console", "sockets", "overload", "fleet", "log")
         changed = [name for name in names if getattr(self, name) != getattr(new, name)]
         if self.nats and new.nats:
             beside_tenants = msgspec.structs.replace(new.nats, tenants=self.nats.tenants)
@@ -280,10 +287,19 @@
         platform=False,
         nats=nats,
         overload=o.overload,
+        fleet=_fleet(o.fleet, path) if o.fleet else None,
+        log=o.log,
         rules=_rules(o, path) if o.rules else None,
     )
 
 
+def _fleet(fleet: forms.Fleet, path: Path) -> forms.Fleet:
+    """The table with the paths of its files made whole."""
+    key = str(path.parent / fleet.key)
+    state = str(path.parent / fleet.state) if fleet.state else None
+    return msgspec.structs.replace(fleet, key=key, state=state)
+
+
 def _rules(o: forms.Operator, path: Path) -> RulesSource:
     """The text of the rules, and where it begins."""
     from violetdoor.rules.source import RulesSource
--- a/violetdoor/core/controller.py
+++ b/violetdoor/core/controller.py
@@ -167,6 +167,9 @@
         self.returned: dict[str, tuple[float, float]] = {}  # those put back: banned at, put back at
         self.follow: Callable[[], None] = lambda: None
         self.prober: Prober | None = None
+        self.told_nodes = settings.nodes
+        self.living: int | None = None  # relays that are known to live, where that is known
+        self.on_drain: Callable[[str], None] = lambda server: None
         self.faults = 0
         self.resting = False
         self.spares: Callable[[], bool] = lambda: False  # whether probes are to wait
@@ -183,9 +186,18 @@
         """Go over to new settings at once; classes that have vanished stay for what is under way."""
         aims = [c.message_aim for c in settings.classes.values()]
         self.delays.threshold, self.tells_delay = min(aims, default=0.0) / 3, tells_delay and bool(aims)
-        self.settings = replace(settings, classes={**self.settings.classes, **settings.classes})
+        self.told_nodes = settings.nodes
+        nodes = settings.nodes if self.living is None else self.living
+        self.settings = replace(settings, nodes=nodes, classes={**self.settings.classes, **settings.classes})
         self.handle(i.Reconfigured(self.settings))
 
+    def relays(self, count: int | None) -> None:
+        """How many relays share the servers now; none: nobody knows better than the settings."""
+        self.living, nodes = count, self.told_nodes if count is None else count
+        if nodes != self.settings.nodes:
+            self.settings = replace(self.settings, nodes=nodes)
+            self.handle(i.Reconfigured(self.settings))
+
     def listed(self, servers: i.ServerList) -> None:
         """The list, a change of it, or a call for it that failed."""
         if servers.kind.whole:
@@ -247,13 +259,18 @@
         entry = self.entries.get(server)
         return server not in self.bans and entry is not None and entry.state is i.ServerState.READY
 
-    def drains(self, server: str) -> None:
-        """A server said itself that it drains: as if the list had told, until the list or time says more."""
+    def drains(self, server: str, told: bool = False) -> None:
+        """A server said itself that it drains: as if the list had told, until the list or time says more.
+
+        `told`: it said so to another relay.
+        """
         entry = self.entries.get(server)
         if entry is None or entry.state is not i.ServerState.READY:
             return
         drained = replace(entry, state=i.ServerState.DRAINING)
         self.listed(i.ServerList(i.ListKind.CHANGES, (drained,)))
+        if not told:
+            self.on_drain(server)
         self.loop.call_later(DRAIN_BELIEVED, self._drained_enough, drained, entry)
 
     def _drained_enough(self, drained: i.ServerEntry, entry: i.ServerEntry) -> None:
--- /dev/null
+++ b/violetdoor/events.py
@@ -0,0 +1,35 @@
+"""The names of what the program tells of itself as events, and how one is told.
+
+An event is a log line with a name and values: plain text as any other line, or JSON where the operator's
+file asks for it. Names stand here alone, so that nobody has to look for them.
+"""
+
+from __future__ import annotations
+
+import logging
+from typing import Any
+
+# The fleet. Values: see docs/operators/fleet-view.md.
+FLEET_VIEW = "fleet.view"  # a view was installed
+FLEET_LIVE, FLEET_STALE = "fleet.live", "fleet.stale"  # the lease holds; it is over
+FLEET_FOUNDED, FLEET_RECALLED = "fleet.founded", "fleet.recalled"  # a line began; a restart remembers a view
+FLEET_REMOVED, FLEET_LEFT = "fleet.removed", "fleet.left"  # taken out by the others; left by its own word
+FLEET_REFUSED = "fleet.refused"  # another relay does not let this one in
+FLEET_PAUSED = "fleet.paused"  # this process was stopped for a while
+FLEET_CLEAR = "fleet.clear"  # no lease under an earlier view can still hold
+
+
+class Values(dict[str, Any]):
+    """The values of an event; as text, one after another."""
+
+    def __str__(self) -> str:
+        return " ".join(f"{name}={_shown(value)}" for name, value in self.items())
+
+
+def _shown(value: Any) -> str:
+    return ",".join(map(str, value)) if isinstance(value, (list, tuple)) else str(value)
+
+
+def tell(log: logging.Logger, name: str, **values: Any) -> None:
+    """Write one event."""
+    log.info("%s %s", name, Values(values))
--- /dev/null
+++ b/violetdoor/fleet/agreement.py
@@ -0,0 +1,199 @@
+"""Agreement on the view that follows another: one instance of single-decree Paxos (Lamport 2001) a view.
+
+The members of a view are the acceptors of its successor, so that the views of one line are a chain in
+which each has the word of a majority of the one before. The first ballot is the first member's and needs
+no first phase.
+
+Before a change that takes out members for dead is put to the vote, a poll asks the others whether they
+hold them for dead, too. The poll binds nobody; what Paxos promises does not rest on it. It guards against
+a relay that hears nobody and would take out all others, or one that only it can't reach.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+from random import Random
+
+from violetdoor.fleet import messages as m
+from violetdoor.fleet.view import Change, View
+
+AGAIN = 0.15  # s until those that did not answer are asked again
+GIVE_UP = 1.0  # s until a proposer begins anew with a higher ballot, and a random part of this
+
+
+@dataclass(slots=True)
+class Proposal:
+    """What this relay is about to bring through."""
+
+    change: Change
+    began: float
+    asked: float
+    ballot: int = -1
+    phase: str = "poll"  # poll, prepare, accept
+    voted: set[int] = field(default_factory=set)  # places of members that agreed in this phase
+    contradicted: set[int] = field(default_factory=set)  # places of dead that somebody knows to live
+    highest: int = -1  # ballot of the accepted change that promises told of
+    until: float = 0.0  # when this ballot is given up
+
+
+class Agreement:
+    """One relay's part in deciding what follows `view`; `out` has what is to be sent, and to whom."""
+
+    def __init__(self, view: View, me: str, random: Random) -> None:
+        self.view, self.me, self.random = view, view.places[me], random
+        self.promised, self.accepted_in = -1, -1  # these three are to outlive a restart
+        self.accepted: Change | None = None
+        self.decided: Change | None = None
+        self.proposal: Proposal | None = None
+        self.round = 0
+        self.polls = 0
+        self.out: list[tuple[int, m.Message]] = []
+        self.contradicted: set[int] = set()  # of the last poll that failed
+
+    @property
+    def frozen(self) -> bool:
+        """Whether a change was accepted: no heartbeat of this view may be given any more."""
+        return self.accepted is not None
+
+    @property
+    def due(self) -> float:
+        p = self.proposal
+        return math.inf if p is None else min(p.asked + AGAIN, p.until)
+
+    def propose(self, change: Change, now: float) -> None:
+        """Try to bring a change through; what another has begun is brought through in its place."""
+        if self.proposal is not None or self.decided is not None or not change:
+            return
+        self.polls += 1
+        self.proposal = Proposal(change, now, now, until=now + GIVE_UP)
+        if change.dead and self.accepted is None:
+            self.proposal.voted.add(self.me)
+            self._step(now)
+        else:
+            self._prepare(now)
+
+    def _others(self) -> list[int]:
+        assert self.proposal is not None
+        # Also those that the change takes out: one that has restarted remembers, and has its word.
+        return [n for n in range(len(self.view.members)) if n != self.me]
+
+    def _ask(self, now: float) -> None:
+        """Say the phase's question to all that have not answered."""
+        p = self.proposal
+        assert p is not None
+        p.asked = now
+        base = self.view.id
+        message: m.Message
+        if p.phase == "poll":
+            message = m.Poll(base, self.polls, p.change)
+        elif p.phase == "prepare":
+            message = m.Prepare(base, p.ballot)
+        else:
+            message = m.Accept(base, p.ballot, p.change)
+        self.out += [(n, message) for n in self._others() if n not in p.voted]
+
+    def _step(self, now: float) -> None:
+        """Go on to the next phase if this one has its majority, else ask."""
+        p = self.proposal
+        assert p is not None
+        if len(p.voted) < self.view.majority:
+            self._ask(now)
+        elif p.phase == "poll":
+            self._prepare(now)
+        elif p.phase == "prepare":
+            self._accept(now)
+        else:
+            self._decide(p.change)
+
+    def _prepare(self, now: float) -> None:
+        p = self.proposal
+        assert p is not None
+        size = len(self.view.members)
+        self.round = max(self.round, self.promised // size + 1) if self.promised >= 0 else self.round
+        p.ballot, p.voted = self.round * size + self.me, set()
+        p.until = now + GIVE_UP * self.random.uniform(1.0, 2.0)
+        self.round += 1
+        if p.ballot == 0:  # no lower ballot can be
+            self._accept(now)
+            return
+        p.phase, self.promised = "prepare", p.ballot
+        if self.accepted is not None:
+            p.highest, p.change = self.accepted_in, self.accepted
+        p.voted.add(self.me)
+        self._step(now)
+
+    def _accept(self, now: float) -> None:
+        p = self.proposal
+        assert p is not None
+        p.phase, p.voted = "accept", {self.me}
+        self.promised = self.accepted_in = p.ballot
+        self.accepted = p.change
+        self._step(now)
+
+    def _decide(self, change: Change) -> None:
+        self.decided, self.proposal = change, None
+        told = m.Decided(self.view.id, change)
+        self.out += [(n, told) for n in range(len(self.view.members)) if n != self.me]
+
+    def wake(self, now: float) -> None:
+        """Ask again, or give up a ballot that does not come through."""
+        if (p := self.proposal) is None:
+            return
+        if now >= p.until:
+            self.proposal = None
+            self.contradicted = p.contradicted
+        elif now >= p.asked + AGAIN:
+            self._ask(now)
+
+    def receive(self, place: int, message: m.Message, now: float, lives: set[int]) -> None:
+        """Take a message of the member at this place; `lives` has the places of those held for alive here."""
+        p, base = self.proposal, self.view.id
+        match message:
+            case m.Poll(number=number, change=change):
+                self.out.append((place, m.Vote(base, number, tuple(sorted(lives & set(change.dead))))))
+            case m.Vote(number=number, alive=alive):
+                if p is not None and p.phase == "poll" and number == self.polls:
+                    p.contradicted |= set(alive)
+                    if not alive:
+                        p.voted.add(place)
+                        if len(p.voted) >= self.view.majority:
+                            self._step(now)
+            case m.Prepare(ballot=ballot):
+                if ballot >= self.promised:
+                    self._yield(ballot)
+                    self.promised = ballot
+                    self.out.append((place, m.Promise(base, ballot, self.accepted_in, self.accepted)))
+                else:
+                    self.out.append((place, m.Refused(base, ballot, self.promised)))
+            case m.Promise(ballot=ballot, accepted=accepted, change=told):
+                if p is not None and p.phase == "prepare" and ballot == p.ballot:
+                    if told is not None and accepted > p.highest:
+                        p.highest, p.change = accepted, told
+                    p.voted.add(place)
+                    if len(p.voted) >= self.view.majority:
+                        self._step(now)
+            case m.Accept(ballot=ballot, change=change):
+                if ballot >= self.promised:
+                    self._yield(ballot)
+                    self.promised = self.accepted_in = ballot
+                    self.accepted = change
+                    self.out.append((place, m.Accepted(base, ballot)))
+                else:
+                    self.out.append((place, m.Refused(base, ballot, self.promised)))
+            case m.Accepted(ballot=ballot):
+                if p is not None and p.phase == "accept" and ballot == p.ballot:
+                    p.voted.add(place)
+                    if len(p.voted) >= self.view.majority:
+                        self._step(now)
+            case m.Refused(ballot=ballot, promised=promised):
+                self.round = max(self.round, promised // len(self.view.members) + 1)
+                if p is not None and p.phase != "poll" and ballot == p.ballot:
+                    self.proposal = None
+            case m.Decided(change=change):
+                self.decided, self.proposal = change, None
+
+    def _yield(self, ballot: int) -> None:
+        """Another proposer has a higher ballot than this relay's own."""
+        if self.proposal is not None and self.proposal.phase != "poll" and ballot > self.proposal.ballot:
+            self.proposal = None
--- /dev/null
+++ b/violetdoor/fleet/endpoint.py
@@ -0,0 +1,439 @@
+"""The fleet's sockets and clock: datagrams and calls of `Node` on loopback or a site's network.
+
+One UDP and one TCP socket at one address. A call is a connection with a number from each side, then one
+sealed request and one sealed answer, both bound to the two numbers, so that neither can be used again.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import fcntl
+import logging
+import os
+import random
+import socket
+import time
+from collections import Counter
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from violetdoor import events
+from violetdoor.fleet import messages as m
+from violetdoor.fleet.node import Address, Call, Node, Plan, Standing
+from violetdoor.fleet.seal import SEAL, Seal
+from violetdoor.fleet.view import View
+from violetdoor.net.sockets import connect, end, listen
+
+log = logging.getLogger("violetdoor.fleet")
+
+NONCE, LENGTH = 16, 4  # bytes of a side's number, and of a message's length before it
+AT_ONCE = 32  # datagrams read in one round of the loop: others have their turn
+CALLERS_MOST = 64  # calls that are served at a time
+SERVE_WITHIN = 1.0  # s that a caller has for its request and its answer
+CHUNK = 64 * 1024
+
+
+def boot_clock() -> float:
+    """Seconds of the clock that goes on while the machine sleeps: a lease must not outlive its sleep."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class StateFaultError(Exception):
+    """The file of what must not be forgotten can't serve; the text says why."""
+
+
+class Keeper:
+    """What a relay must not forget, in a file that one process holds at a time."""
+
+    def __init__(self, path: Path) -> None:
+        self.path = path
+        try:
+            beside = path.with_suffix(path.suffix + ".lock")
+            self.lock = os.open(beside, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+            fcntl.flock(self.lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError as err:
+            raise StateFaultError(f"{path}: {err.strerror}; does another process hold it?") from err
+
+    def read(self) -> m.Memory | None:
+        try:
+            return m.memories.decode(self.path.read_bytes()) if self.path.exists() else None
+        except (OSError, msgspec.MsgspecError) as err:
+            raise StateFaultError(f"{self.path}: {err}") from err
+
+    def write(self, memory: m.Memory) -> None:
+        """Keep this for good: a reader sees the old or the new one, whole, also after the power was cut."""
+        beside = self.path.with_suffix(self.path.suffix + ".new")
+        with open(beside, "wb") as file:
+            file.write(m.encode(memory))
+            file.flush()
+            os.fsync(file.fileno())
+        os.replace(beside, self.path)
+        folder = os.open(self.path.parent, os.O_RDONLY)
+        try:
+            os.fsync(folder)
+        finally:
+            os.close(folder)
+
+    def close(self) -> None:
+        os.close(self.lock)
+
+
+class Fleet:
+    """A node on real sockets. `view`, `may_act()`, `owns()` and `on_view` are what the program stands on."""
+
+    def __init__(
+        self, plan: Plan, bind: Address, key: bytes, keeper: Keeper | None = None,
+        routes: dict[str, Address] | None = None, clock: Callable[[], float] = boot_clock,
+    ) -> None:  # fmt: skip
+        self.plan, self.bind, self.seal, self.keeper, self.clock = plan, bind, Seal(key), keeper, clock
+        self.routes = routes or {}  # where single relays are reached from here, if not where they say
+        self.counts: Counter[str] = Counter()
+        self.on_view: list[Callable[[View | None], None]] = []
+        self.on_change: list[Callable[[str, float | None], None]] = []
+        memory = keeper.read() if keeper is not None else None
+        self.node = Node(plan, random.Random(os.urandom(16)), clock(), lambda: time.time() * 1000, memory)
+        self.node.map.changed = self._changed
+        self.kept = memory
+        self.loop = asyncio.get_running_loop()
+        self.udp = socket.socket(socket.AF_INET6 if ":" in bind[0] else socket.AF_INET, socket.SOCK_DGRAM)
+        self.udp.setblocking(False)
+        self.udp.bind(bind)
+        self.tcp = listen((bind[0], self.udp.getsockname()[1]))
+        self.address: Address = self.tcp.getsockname()[:2]
+        self.buffer = bytearray(m.DATAGRAM_MOST + 1)
+        self.timer: asyncio.TimerHandle | None = None
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.callers = 0
+        # until what they rest on is kept
+        self.held: list[tuple[list[tuple[Address, m.Packet]], list[Call]]] = []
+        self.keeping = False
+        self.closed = False
+        self.entered = asyncio.Event()
+        self.was_clear = True
+        self.refused = ""
+        self.by_address = {address: name for name, address in self.routes.items()}
+
+    # What the program asks.
+
+    @property
+    def view(self) -> View | None:
+        """The view that this relay stands at."""
+        return self.node.view if self.node.standing is Standing.MEMBER else None
+
+    def may_act(self) -> bool:
+        """Whether this relay's lease holds at this moment."""
+        return self.node.may_act(self.clock())
+
+    def owns(self, key: str) -> bool:
+        """Whether a key is this relay's alone at this moment."""
+        return self.node.owns(key, self.clock())
+
+    def put(self, key: str, value: float | None) -> bool:
+        """Set a value that all relays are to know; False where the map is full."""
+        took = self.node.put(key, value, self.clock())
+        self._carry_out()
+        return took
+
+    def force(self) -> str:
+        """Go on without a majority; why not, or nothing."""
+        why = self.node.force(self.clock())
+        self._carry_out()
+        return why
+
+    def leave(self) -> None:
+        """Go by this relay's own word."""
+        self.node.leave(self.clock())
+        self._carry_out()
+        self._seen(None)
+
+    async def ready(self, within: float) -> bool:
+        """Wait until this relay stands in a view and has the shared map; False if that takes too long."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(within):
+                await self.entered.wait()
+        return self.entered.is_set()
+
+    def told(self) -> dict[str, Any]:
+        """All that operators may want to know."""
+        node, now = self.node, self.clock()
+        view, detector = node.view, node.detector
+        members = [] if view is None else [
+            {
+                "name": p.name, "address": f"{p.host}:{p.port}", "zone": p.zone, "since": p.since,
+                "health": "self" if p.name == self.plan.name else _health(node, p.name),
+                "heard_s": _age(now, detector.watched[p.name].heard) if p.name in detector.watched else 0.0,
+            }
+            for p in view.members
+        ]  # fmt: skip
+        return {
+            "name": self.plan.name, "standing": node.standing.value,
+            "view": None if view is None else str(view.id), "digest": None if view is None else view.digest,
+            "size": 0 if view is None else len(view.members),
+            "majority": 0 if view is None else view.majority,
+            "may_act": node.may_act(now),
+            "lease_left_s": 0.0 if node.lease is None else round(max(0.0, node.lease.until - now), 3),
+            "clear": node.cleared(now), "own_health": detector.score, "members": members,
+            "pending": sorted(node.pending),
+            "shared": len(node.map.entries), "map": f"{node.map.digest:016x}",
+            "counts": dict(self.counts) | {f"dropped {k}": v for k, v in node.dropped.items() if v},
+        }  # fmt: skip
+
+    # Start and end.
+
+    def start(self) -> None:
+        """Begin to listen and to speak."""
+        self.loop.add_reader(self.udp, self._datagrams)
+        self._spawn(self._accept())
+        self._carry_out()
+
+    async def close(self) -> None:
+        """Leave the fleet, if that was not done, and close all sockets."""
+        if self.node.standing is not Standing.LEFT:
+            self.leave()
+        await self.stop()
+
+    async def stop(self) -> None:
+        """Fall silent without a word: another process of this relay goes on, or none."""
+        self.closed = True
+        self.loop.remove_reader(self.udp)
+        if self.timer is not None:
+            self.timer.cancel()
+        for task in list(self.tasks):
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.udp.close()
+        self.tcp.close()
+        if self.keeper is not None:
+            self.keeper.close()
+
+    def _spawn(self, what: Any) -> None:
+        task = self.loop.create_task(what)
+        self.tasks.add(task)
+        task.add_done_callback(self._over)
+
+    def _over(self, task: asyncio.Task[None]) -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and (err := task.exception()) is not None:
+            self.counts["faults"] += 1
+            log.error("a call of the fleet failed", exc_info=err)
+
+    # The node's wishes.
+
+    def _wake(self) -> None:
+        self.node.wake(self.clock())
+        self._carry_out()
+
+    def _carry_out(self) -> None:
+        """Keep, send, call and tell what the node wants, and plan its next waking."""
+        if self.closed:
+            return
+        node = self.node
+        out = node.datagrams, node.calls
+        node.datagrams, node.calls = [], []
+        if self.keeper is not None and (self.keeping or node.memory is not self.kept):
+            # A promise is kept before it is given: guards against a restart that forgets it.
+            self.held.append(out)
+            if not self.keeping:
+                self.keeping = True
+                self._spawn(self._keep())
+        else:
+            self._send_out(*out)
+        told, node.events = node.events, []
+        for event in told:
+            self._tell(event.name, event.values)
+        clear = node.cleared(self.clock())
+        if clear and not self.was_clear and node.view is not None:
+            events.tell(log, events.FLEET_CLEAR, view=str(node.view.id))
+        self.was_clear = clear
+        if self.timer is not None:
+            self.timer.cancel()
+        wait = min(60.0, max(0.0, node.due - self.clock()))
+        self.timer = self.loop.call_later(wait, self._wake)
+
+    def _tell(self, name: str, values: dict[str, Any]) -> None:
+        if name == events.FLEET_REFUSED:
+            if values["why"] == self.refused:
+                return
+            self.refused = values["why"]
+        self.counts[name] += 1
+        events.tell(log, name, at=round(self.clock(), 3), **values)
+        if name == events.FLEET_VIEW:
+            self.refused = ""
+            self.entered.set()
+            self._seen(self.node.view)
+        elif name == events.FLEET_REMOVED:
+            self._seen(None)
+
+    def _seen(self, view: View | None) -> None:
+        for heard in self.on_view:
+            heard(view)
+
+    def _changed(self, key: str, value: float | None) -> None:
+        for heard in self.on_change:
+            heard(key, value)
+
+    async def _keep(self) -> None:
+        assert self.keeper is not None
+        try:
+            while self.node.memory is not self.kept and self.node.memory is not None:
+                memory = self.node.memory
+                await asyncio.to_thread(self.keeper.write, memory)
+                self.kept = memory
+        except OSError as err:
+            # Guards against promises that nothing holds: this relay goes on without deciding.
+            log.error("what must not be forgotten can't be kept, this relay leaves the fleet: %s", err)
+            self.held.clear()
+            self.leave()
+            return
+        finally:
+            self.keeping = False
+        held, self.held = self.held, []
+        for out in held:
+            self._send_out(*out)
+
+    def _send_out(self, datagrams: list[tuple[Address, m.Packet]], calls: list[Call]) -> None:
+        for address, packet in datagrams:
+            data = self.seal.put(m.encode(packet))
+            if len(data) > m.DATAGRAM_MOST:
+                self.counts["too_long"] += 1
+                continue
+            try:
+                self.udp.sendto(data, self.routes.get(packet.to, address))
+                self.counts["datagrams_out"] += 1
+                self.counts["bytes_out"] += len(data)
+            except OSError:  # as if it was lost
+                self.counts["unsent"] += 1
+        for call in calls:
+            self._spawn(self._call(call))
+
+    # Datagrams.
+
+    def _datagrams(self) -> None:
+        for _ in range(AT_ONCE):
+            try:
+                length, source = self.udp.recvfrom_into(self.buffer)
+            except (BlockingIOError, InterruptedError):
+                break
+            except OSError:  # a port that nobody listens at was written to
+                continue
+            self._datagram(memoryview(self.buffer)[:length], source[:2])
+        self._carry_out()
+
+    def _datagram(self, data: memoryview, source: Address) -> None:
+        self.counts["datagrams_in"] += 1
+        self.counts["bytes_in"] += len(data)
+        if len(data) > m.DATAGRAM_MOST or (body := self.seal.off(data)) is None:
+            self.counts["dropped_seal"] += 1
+            return
+        try:
+            packet = m.packets.decode(body)
+        except (msgspec.MsgspecError, ValueError):
+            self.counts["dropped_form"] += 1
+            return
+        if not m.OLDEST <= packet.version <= m.VERSION:
+            self.counts["dropped_version"] += 1
+            return
+        self.node.receive(packet, source, self.clock())
+
+    # Calls.
+
+    async def _call(self, call: Call) -> None:
+        answer: m.Answer | None = None
+        with contextlib.suppress(OSError, EOFError, ValueError, msgspec.MsgspecError):
+            async with asyncio.timeout(call.within):
+                answer = await self._exchange(call)
+        if not self.closed:
+            self.counts["calls_failed"] += answer is None
+            self.node.answered(call.number, answer, self.clock())
+            self._carry_out()
+
+    async def _exchange(self, call: Call) -> m.Answer:
+        sock = await connect(self._routed(call.address), call.within)
+        try:
+            mine = os.urandom(NONCE)
+            await self.loop.sock_sendall(sock, mine)
+            both = mine + await self._exactly(sock, NONCE)
+            await self._say(sock, m.encode(call.request), b"asked" + both)
+            answer: m.Answer = m.answers.decode(await self._heard(sock, b"answered" + both))
+            return answer
+        finally:
+            end(sock)
+
+    def _routed(self, address: Address) -> Address:
+        """Where an address is reached from here: that of a relay that has a route."""
+        known = self.node.view.members if self.node.view is not None else ()
+        for peer in known:
+            if (peer.host, peer.port) == address and peer.name in self.routes:
+                return self.routes[peer.name]
+        return address
+
+    async def _accept(self) -> None:
+        while True:
+            try:
+                sock, _ = await self.loop.sock_accept(self.tcp)
+            except OSError as err:
+                log.warning("accept failed: %s", err)
+                await asyncio.sleep(0.05)
+                continue
+            if self.callers >= CALLERS_MOST:
+                self.counts["calls_turned_away"] += 1
+                sock.close()
+                continue
+            self.callers += 1
+            self._spawn(self._serve(sock))
+
+    async def _serve(self, sock: socket.socket) -> None:
+        try:
+            sock.setblocking(False)
+            async with asyncio.timeout(SERVE_WITHIN):
+                mine = os.urandom(NONCE)
+                theirs = await self._exactly(sock, NONCE)
+                await self.loop.sock_sendall(sock, mine)
+                both = theirs + mine
+                request = m.requests.decode(await self._heard(sock, b"asked" + both))
+                answer = self.node.asked(request, self.clock())
+                self._carry_out()
+                if answer is not None:
+                    await self._say(sock, m.encode(answer), b"answered" + both)
+        except ValueError:  # msgspec's faults are such, too
+            self.counts["dropped_call"] += 1
+        except (OSError, EOFError):
+            self.counts["calls_broke"] += 1
+        finally:
+            self.callers -= 1
+            end(sock)
+
+    async def _say(self, sock: socket.socket, body: bytes, context: bytes) -> None:
+        data = self.seal.put(body, context)
+        await self.loop.sock_sendall(sock, len(data).to_bytes(LENGTH, "big") + data)
+
+    async def _heard(self, sock: socket.socket, context: bytes) -> bytes:
+        length = int.from_bytes(await self._exactly(sock, LENGTH), "big")
+        if not SEAL < length <= m.FRAME_MOST:
+            raise ValueError("a length that no message has")
+        body = self.seal.off(await self._exactly(sock, length), context)
+        if body is None:
+            raise ValueError("a seal that is not this fleet's")
+        return body
+
+    async def _exactly(self, sock: socket.socket, count: int) -> bytes:
+        data = bytearray()
+        while len(data) < count:
+            got = await self.loop.sock_recv(sock, min(CHUNK, count - len(data)))
+            if not got:
+                raise EOFError
+            data += got
+        return bytes(data)
+
+
+def _health(node: Node, name: str) -> str:
+    watched = node.detector.watched.get(name)
+    return "ended" if name in node.ended else "unknown" if watched is None else watched.health.value
+
+
+def _age(now: float, at: float) -> float | None:
+    return None if at == float("-inf") else round(now - at, 3)
--- /dev/null
+++ b/violetdoor/fleet/lease.py
@@ -0,0 +1,143 @@
+"""Leases out of rounds of heartbeats that gossip gathers: no relay collects them for the others.
+
+A round is a number, the member that started it, a bitmap of who has joined in, and a bitmap of whom its
+starter had in the round before. Every packet carries the newest round; bitmaps are merged. A member of
+view V joins in only while it has accepted no successor of V.
+
+A relay that sees a majority of V in round k, and itself among those that the starter of k had in round
+k-1, holds a lease for LEASE seconds from when it joined in k-1.
+
+Why that is safe: its joining k-1 came before the start of k, which came before each of the majority
+joined k. A successor of V is decided only once a majority has accepted it, and one of these is also of
+the first majority; that one joined k before it accepted. So the lease began before the successor was
+decided, and ends within LEASE of that by the holder's clock. Whoever acts on the successor waits for
+LEASE, stretched by what clocks may drift, from when it installed it (`CLEAR`).
+"""
+
+from __future__ import annotations
+
+import math
+from random import Random
+
+from violetdoor.fleet.messages import Round
+
+LEASE = 3.0  # s: four rounds, so that two lost ones, or a second's pause, cost nobody its lease
+ROUND = 0.75  # s from one round's start to the next
+DRIFT = 0.05  # by which the clocks of two machines may differ in rate; sound ones stay under 0.001
+CLEAR = LEASE * (1 + DRIFT)  # s after a view was installed when all leases under earlier ones are over
+STARTERS = 0.3  # s by which a member that is not the first waits longer until it starts a round itself
+
+
+class Lease:
+    """One relay's part in the heartbeats of one view: places are those of the view's members."""
+
+    def __init__(
+        self, size: int, me: int, random: Random, until: float = -math.inf, after: float = -math.inf
+    ) -> None:
+        self.size, self.me, self.random = size, me, random
+        self.until = until  # of a lease under an earlier view that this relay was in, too
+        self.after = after  # joining in before this could help two views at once
+        self.frozen = False
+        self.number, self.starter = 0, -1
+        self.joined = self.before = 0
+        self.joins: dict[int, float] = {}  # when this relay joined the last rounds, by number
+        self.seen = -math.inf  # when the present round was first seen
+        self.complete_at = -math.inf
+        self.fresh = False  # something that others should hear soon
+        self.wait = 0.0
+
+    @property
+    def majority(self) -> int:
+        return self.size // 2 + 1
+
+    def held(self, now: float) -> bool:
+        """Whether the lease holds at this moment."""
+        return now < self.until
+
+    @property
+    def complete(self) -> bool:
+        return self.joined.bit_count() >= self.majority
+
+    @property
+    def due(self) -> float:
+        """When this relay would start a round itself."""
+        return math.inf if self.frozen else max(self.after, self.seen + ROUND + self.wait)
+
+    def wake(self, now: float, first: bool) -> None:
+        """Start the next round if it is due; `first`: no living member stands before this one."""
+        self.wait = 0.0 if first else STARTERS * (1.0 + self.random.random())
+        if self.frozen or now < self.due:
+            return
+        # One that does not complete is not waited for: its majority may have gone.
+        before = self.joined if self.number else 0
+        self._adopt(self.number + 1, self.me, before, now)
+
+    def _adopt(self, number: int, starter: int, before: int, now: float) -> None:
+        self.number, self.starter, self.joined, self.before = number, starter, 0, before
+        self.seen, self.fresh = now, True
+        self._join(now)
+
+    def _join(self, now: float) -> None:
+        if self.frozen or now < self.after:
+            return
+        self.joins.setdefault(self.number, now)
+        self.joins = {n: at for n, at in self.joins.items() if n >= self.number - 1}
+        self.joined |= 1 << self.me
+        self._count(now)
+
+    def receive(self, told: Round, now: float) -> None:
+        """Merge what a packet says."""
+        if told.starter >= self.size or told.number < self.number:
+            return
+        if told.number > self.number or told.starter < self.starter:
+            self._adopt(told.number, told.starter, unpacked(told.before, self.size), now)
+        elif told.starter != self.starter:
+            return
+        was = self.joined
+        self.joined |= unpacked(told.joined, self.size)
+        if not self.joined >> self.me & 1:
+            self._join(now)
+        if self.joined != was:
+            self._count(now)
+
+    def _count(self, now: float) -> None:
+        if not self.complete:
+            return
+        if self.complete_at < self.seen:
+            self.complete_at, self.fresh = now, True
+        began = self.joins.get(self.number - 1)
+        if began is not None and self.before >> self.me & 1:
+            self.until = max(self.until, began + LEASE)
+
+    def told(self) -> Round | None:
+        """What a packet says of the present round."""
+        if not self.number:
+            return None
+        joined, before = packed(self.joined, self.size), packed(self.before, self.size)
+        return Round(self.number, self.starter, joined, before)
+
+
+PLACE = 2  # bytes of a member's place in a list of them
+RAW, THOSE, ALL_BUT = 0, 1, 2  # how a bitmap is written
+
+
+def packed(bits: int, size: int) -> bytes:
+    """A bitmap as it is shortest: whole, as the places in it, or as those that are missing."""
+    count = bits.bit_count()
+    if min(count, size - count) * PLACE >= (size + 7) // 8:
+        return bytes((RAW,)) + bits.to_bytes((size + 7) // 8, "little")
+    rare = bits if count * 2 <= size else ~bits & ((1 << size) - 1)
+    places = [n for n in range(size) if rare >> n & 1]
+    kind = THOSE if count * 2 <= size else ALL_BUT
+    return bytes((kind,)) + b"".join(n.to_bytes(PLACE, "little") for n in places)
+
+
+def unpacked(data: bytes, size: int) -> int:
+    """The bitmap again; bits that no member has are left out."""
+    everybody = (1 << size) - 1
+    if not data or data[0] == RAW:
+        return int.from_bytes(data[1:], "little") & everybody
+    bits = 0
+    for at in range(1, len(data) - 1, PLACE):
+        bits |= 1 << min(size, int.from_bytes(data[at : at + PLACE], "little"))
+    return (bits if data[0] == THOSE else ~bits) & everybody
--- /dev/null
+++ b/violetdoor/fleet/messages.py
@@ -0,0 +1,297 @@
+"""What relays say to each other: msgpack arrays, to whose ends later versions add.
+
+A reader skips values behind those that it knows, and a value that is missing has its default, so two
+versions understand each other as long as nothing is taken out or changes its meaning. `VERSION` counts
+such meanings: a relay speaks the lower one of its own and of what the other has last said that it knows.
+"""
+
+from __future__ import annotations
+
+from typing import Literal
+
+import msgspec
+from msgspec import Struct
+
+from violetdoor.fleet.view import Change, Peer, View, ViewId
+
+VERSION, OLDEST = 2, 1  # spoken; still understood
+DATAGRAM_MOST = 4096  # bytes of a packet with its seal
+FRAME_MOST = 1 << 20  # bytes of one message over TCP: a view of 1,024 members and a full shared map
+RUMORS_MOST = 8  # in one packet
+NEWS_MOST = 8  # entries of the shared map in one packet
+
+ALIVE, SUSPECT = 0, 1
+
+
+class Rumor(Struct, frozen=True, array_like=True):
+    """What somebody says of a member: alive, or suspected by `by`, in this incarnation of its life."""
+
+    name: str
+    instance: int
+    incarnation: int
+    state: int
+    by: str = ""
+
+
+class Stamp(Struct, frozen=True, array_like=True, order=True):
+    """A hybrid logical clock's time (Kulkarni et al. 2014): Unix ms, a counter, and whose it is."""
+
+    ms: int
+    count: int
+    name: str
+
+
+class Entry(Struct, frozen=True, array_like=True):
+    """One value of the shared map; none where it was taken back."""
+
+    key: str
+    stamp: Stamp
+    value: float | None
+
+
+class Round(Struct, frozen=True, array_like=True):
+    """A round of heartbeats: who has joined in, and whom its starter had in the round before it."""
+
+    number: int
+    starter: int
+    joined: bytes
+    before: bytes
+
+
+# Detection.
+
+
+class Ping(Struct, frozen=True, array_like=True, tag=1):
+    """Say that you live; `instance` is the life that is meant, 0 for any."""
+
+    seq: int
+    instance: int = 0
+
+
+class Ack(Struct, frozen=True, array_like=True, tag=2):
+    """I live. `instance` is mine: it proves the end of another life that was asked."""
+
+    seq: int
+    instance: int = 0
+
+
+class PingFor(Struct, frozen=True, array_like=True, tag=3):
+    """Ask that member in my place."""
+
+    seq: int
+    name: str
+
+
+class Nack(Struct, frozen=True, array_like=True, tag=4):
+    """I asked it in your place and have no answer: my own network is sound enough to say so."""
+
+    seq: int
+
+
+# Agreement on the view that follows `base`.
+
+
+class Poll(Struct, frozen=True, array_like=True, tag=10):
+    """Would you agree to this change? Binds nobody."""
+
+    base: ViewId
+    number: int
+    change: Change
+
+
+class Vote(Struct, frozen=True, array_like=True, tag=11):
+    """Those of the dead that live, as far as I know; none: I agree."""
+
+    base: ViewId
+    number: int
+    alive: tuple[int, ...]
+
+
+class Prepare(Struct, frozen=True, array_like=True, tag=12):
+    """Take part in no lower ballot."""
+
+    base: ViewId
+    ballot: int
+
+
+class Promise(Struct, frozen=True, array_like=True, tag=13):
+    """I will not; the highest ballot that I have accepted a change in, and that change."""
+
+    base: ViewId
+    ballot: int
+    accepted: int
+    change: Change | None
+
+
+class Accept(Struct, frozen=True, array_like=True, tag=14):
+    """Accept this change."""
+
+    base: ViewId
+    ballot: int
+    change: Change
+
+
+class Accepted(Struct, frozen=True, array_like=True, tag=15):
+    """I have."""
+
+    base: ViewId
+    ballot: int
+
+
+class Refused(Struct, frozen=True, array_like=True, tag=16):
+    """I have promised a higher ballot."""
+
+    base: ViewId
+    ballot: int
+    promised: int
+
+
+class Decided(Struct, frozen=True, array_like=True, tag=17):
+    """A majority has accepted it."""
+
+    base: ViewId
+    change: Change
+
+
+# Entering and leaving.
+
+
+class JoinFor(Struct, frozen=True, array_like=True, tag=20):
+    """A relay wants to enter; from the member that it asked to those that may propose it."""
+
+    peer: Peer
+
+
+class Leaving(Struct, frozen=True, array_like=True, tag=21):
+    """I go, and act no more."""
+
+
+class Found(Struct, frozen=True, array_like=True, tag=22):
+    """Would you begin a line with this first view? `base` is the view that its survivors had, if any."""
+
+    view: View
+    base: ViewId | None
+    forced: bool = False
+
+
+class FoundVote(Struct, frozen=True, array_like=True, tag=23):
+    """Whether I would."""
+
+    line: int
+    yes: bool
+
+
+class Founded(Struct, frozen=True, array_like=True, tag=24):
+    """It has begun."""
+
+    view: View
+
+
+Message = (
+    Ping | Ack | PingFor | Nack | Poll | Vote | Prepare | Promise | Accept | Accepted | Refused | Decided
+    | JoinFor | Leaving | Found | FoundVote | Founded
+)  # fmt: skip
+
+
+class Packet(Struct, array_like=True):
+    """One datagram: who says it to whom, what the sender stands at, and what it says."""
+
+    version: int
+    newest: int  # version that the sender understands
+    name: str
+    instance: int
+    to: str
+    to_instance: int  # 0 where the sender does not know it
+    count: int  # of this sender's packets: a packet that came before, or is older than a window, is dropped
+    view: ViewId | None
+    size: int  # members of that view
+    live: bool  # the sender holds a lease
+    incarnation: int
+    round: Round | None
+    map: int  # digest of the shared map
+    rumors: tuple[Rumor, ...] = ()
+    news: tuple[Entry, ...] = ()
+    messages: tuple[Message, ...] = ()
+    # Since version 2.
+    zone: str = ""
+
+
+# Over TCP: one request and one answer to a connection.
+
+
+class Hello(Struct, frozen=True, array_like=True, tag=1):
+    """I want to enter; whether I may found a line, and how long I have been up, in s."""
+
+    peer: Peer
+    founder: bool
+    up: float
+
+
+class Sync(Struct, frozen=True, array_like=True, tag=2):
+    """Tell me your view and your shared map; here is what I stand at, and mine."""
+
+    peer: Peer
+    view: ViewId | None
+    size: int
+    live: bool
+    entries: tuple[Entry, ...]
+
+
+class TcpPing(Struct, frozen=True, array_like=True, tag=3):
+    """Say that you live; datagrams may be lost."""
+
+    instance: int
+
+
+Request = Hello | Sync | TcpPing
+
+
+class State(Struct, frozen=True, array_like=True, tag=1):
+    """The view that I stand at, whether I hold a lease, and all entries of the shared map."""
+
+    view: View | None
+    live: bool
+    entries: tuple[Entry, ...]
+
+
+class Refusal(Struct, frozen=True, array_like=True, tag=2):
+    """You are not in, and why.
+
+    A living relay has the name, you come and go, we are full, we can't decide; or you are being let in.
+    """
+
+    why: Literal["name", "held", "full", "stale", "pending"]
+
+
+class Fresh(Struct, frozen=True, array_like=True, tag=3):
+    """I am in no view either; who I am, whether I may found one, and how long I have been up, in s."""
+
+    peer: Peer
+    founder: bool
+    up: float
+
+
+class Alive(Struct, frozen=True, array_like=True, tag=4):
+    """I live."""
+
+    instance: int
+
+
+Answer = State | Refusal | Fresh | Alive
+
+
+class Memory(Struct, frozen=True, array_like=True):
+    """What a relay must not forget when it restarts: where it stood, and what it has promised there."""
+
+    view: View
+    promised: int = -1
+    accepted_in: int = -1
+    accepted: Change | None = None
+
+
+memories = msgspec.msgpack.Decoder(Memory)
+
+packets = msgspec.msgpack.Decoder(Packet)
+requests = msgspec.msgpack.Decoder(Request)
+answers = msgspec.msgpack.Decoder(Answer)
+encode = msgspec.msgpack.Encoder().encode
--- /dev/null
+++ b/violetdoor/fleet/service.py
@@ -0,0 +1,121 @@
+"""The fleet as the program's service: what the rest of the program does with the view."""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections.abc import Callable, Mapping
+from http import HTTPStatus
+from pathlib import Path
+
+import orjson
+
+from violetdoor.config import ConfigError
+from violetdoor.console.server import Answer
+from violetdoor.fleet.endpoint import Fleet, Keeper, StateFaultError
+from violetdoor.fleet.node import Plan
+from violetdoor.fleet.seal import KeyFaultError, read_key
+from violetdoor.fleet.view import View
+from violetdoor.maintenance.service import Maintenance
+from violetdoor.net.sockets import parse_address
+from violetdoor.services import Host, Service
+from violetdoor.settings import Fleet as Options
+
+log = logging.getLogger("violetdoor")
+
+BAN, DRAIN = "ban", "drain"  # kinds of the shared map's keys
+DRAIN_FOR = 30_000.0  # ms for which a server's own word that it drains is believed; the core's figure
+
+
+class FleetService(Service):
+    """Keeps the fleet's view, tells the core how many relays live, and shares what is left out by hand."""
+
+    def __init__(self, host: Host) -> None:
+        self.host, self.core = host, host.core
+        options = host.config.fleet
+        assert options is not None
+        self.options = options
+        self.fleet = self._begin(options)
+        self.maintenance = next(one for one in host.services if isinstance(one, Maintenance))
+        self.maintenance.on_change.append(self._by_hand)
+        self.core.on_drain = self._drains
+
+    def _begin(self, options: Options) -> Fleet:
+        bind, config = parse_address(options.listen), self.host.config
+        at = parse_address(options.advertise) if options.advertise else bind
+        seeds = tuple(parse_address(seed) for seed in options.seeds)
+        plan = Plan(config.name, *at, config.settings.zone, seeds, frozenset(options.founders), options.wire)
+        routes = {name: parse_address(to) for name, to in options.routes.items()}
+        try:
+            key = read_key(Path(options.key))
+            keeper = Keeper(Path(options.state)) if options.state else None
+            fleet = Fleet(plan, bind, key, keeper, routes)
+        except (KeyFaultError, StateFaultError) as err:
+            raise ConfigError(str(err)) from err
+        fleet.on_view.append(self._viewed)
+        fleet.on_change.append(self._shared)
+        return fleet
+
+    async def start(self) -> None:
+        self.fleet.start()
+        log.info("fleet at %s:%d as %s", *self.fleet.address, self.fleet.plan.name)
+        # A client that is taken before would be placed without what the others know of servers.
+        if not await self.fleet.ready(self.options.wait):
+            log.warning("no fleet within %g s: this relay serves alone", self.options.wait)
+
+    async def stop(self) -> None:
+        await self.fleet.close()
+
+    # What the view is used for.
+
+    def _viewed(self, view: View | None) -> None:
+        self.core.relays(None if view is None else len(view.members))
+
+    def _by_hand(self, server: str, since: float | None) -> None:
+        if not self.fleet.put(f"{BAN}:{server}", since):
+            log.error("the fleet's shared map is full: only this relay knows of %s", server)
+
+    def _drains(self, server: str) -> None:
+        self.fleet.put(f"{DRAIN}:{server}", time.time() * 1000)
+
+    def _shared(self, key: str, value: float | None) -> None:
+        """Do as another relay did."""
+        kind, _, server = key.partition(":")
+        if kind == BAN and value is None:
+            self.maintenance.put_back(server)
+        elif kind == BAN and server not in self.core.bans:
+            self.maintenance.leave_out(server, value, known=False)
+        elif kind == DRAIN and value is not None and time.time() * 1000 < value + DRAIN_FOR:
+            self.core.drains(server, told=True)
+
+    # Operators.
+
+    def gauges(self) -> Mapping[str, Callable[[], int]]:
+        return {
+            "fleet_size": lambda: 0 if self.fleet.view is None else len(self.fleet.view.members),
+            "fleet_live": lambda: int(self.fleet.may_act()),
+        }
+
+    def call(self, method: str, path: list[str]) -> Answer | None:
+        if path[:1] != ["fleet"]:
+            return None
+        match method, path[1:]:
+            case "GET", []:
+                told = orjson.dumps(self.fleet.told(), option=orjson.OPT_INDENT_2)
+                return HTTPStatus.OK, told.decode() + "\n"
+            case "GET", ["owns", key]:
+                view = self.fleet.view
+                if view is not None and self.fleet.owns(key):
+                    return HTTPStatus.OK, f"{view.id}\n"
+                return HTTPStatus.CONFLICT, "not this relay's\n"
+            case "PUT", ["force"]:
+                if why := self.fleet.force():
+                    return HTTPStatus.CONFLICT, f"refused: {why}\n"
+                return HTTPStatus.OK, "asked those that are reached to go on\n"
+            case "PUT", ["leave"]:
+                self.fleet.leave()
+                return HTTPStatus.OK, "left\n"
+        return HTTPStatus.METHOD_NOT_ALLOWED, "another method or path is wanted\n"
+
+
+service = FleetService
--- /dev/null
+++ b/violetdoor/fleet/swim.py
@@ -0,0 +1,331 @@
+"""Failure detection: SWIM with Lifeguard's refinements.
+
+Das, Gupta, Motivala 2002; Dadgar, Phillips, Currey 2018. Every period one member is probed; without an
+answer others are asked to probe it, and it is asked over TCP. Who answers nobody is suspected; a
+suspicion ends when its member contradicts it with a higher incarnation, or in death when its time is up.
+That time shortens with each member that suspects independently; probes slow down while this relay's own
+health is in doubt. Death is this relay's own finding and is not told on: the agreement asks the others
+for theirs.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+from enum import Enum
+from random import Random
+
+from violetdoor.fleet import messages as m
+from violetdoor.fleet.seal import spread
+from violetdoor.fleet.view import Peer
+
+# s between two probes: with the least suspicion a crash is found within a second at three members
+PERIOD = 0.25
+ASK_OTHERS = 0.4  # part of the period after which others are asked
+HELPERS = 3  # members that are asked to probe in this one's place
+SUSPECT_LEAST, SUSPECT_MOST = 2.4, 6.0  # periods of a suspicion, times the spread: confirmed, and unconfirmed
+CONFIRMED = 3  # independent suspicions from which on it is shortest
+HEALTH_WORST = 8  # of the health's score: all times are multiplied by one more
+WITNESSES = 5  # members, on average, that probe one at once of which they hear that it is suspected
+RETELL = 4  # times the spread that a rumor is told on
+DEAD_EVERY = 4  # each so many periods a member held for dead is probed too: partitions heal
+
+
+class Health(Enum):
+    """What this relay holds of a member."""
+
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    DEAD = "dead"
+
+
+@dataclass(slots=True, eq=False)
+class Watched:
+    """One member as it is seen from here."""
+
+    peer: Peer
+    incarnation: int = 0
+    health: Health = Health.ALIVE
+    since: float = 0.0  # of the suspicion or death
+    heard: float = -math.inf  # when a packet of this life last came
+    by: set[str] = field(default_factory=set)  # who suspects it
+
+
+@dataclass(slots=True)
+class Probe:
+    """A probe that is out."""
+
+    seq: int
+    name: str
+    began: float
+    asked: bool = False  # others have been asked
+    helped: bool = False  # and there are such
+    nacks: int = 0  # helpers that are expected to say at least that they had no answer
+
+
+@dataclass(slots=True)
+class Errand:
+    """A probe for somebody else."""
+
+    origin: str
+    seq: int  # of the origin
+    until: float
+
+
+class Detector:
+    """Watches the members of the present view. Times in s; `out` holds what is to be sent: to whom, what."""
+
+    def __init__(self, me: Peer, random: Random, now: float) -> None:
+        self.me, self.random = me, random
+        self.incarnation = 0
+        self.watched: dict[str, Watched] = {}
+        self.order: list[str] = []  # to be probed next, last first
+        self.seq, self.probe = 0, list[Probe]()
+        self.errands: dict[int, Errand] = {}
+        self.score = 0  # of the own health: 0 is well
+        self.next_period = now + random.random() * PERIOD
+        self.periods = 0
+        self.woken = now
+        self.rumors: dict[str, tuple[m.Rumor, int]] = {}  # by member, with how often it is still told
+        self.out: list[tuple[str, m.Message]] = []
+        self.over_tcp: list[tuple[str, int]] = []  # members to be asked over TCP, with the probe's number
+        self.changed = False  # somebody's health has changed since this was last looked at
+
+    # Members.
+
+    def watch(self, peers: tuple[Peer, ...], now: float) -> None:
+        """Go over to these members; what is known of those that stay is kept."""
+        known, self.watched = self.watched, {}
+        for peer in peers:
+            if peer.name == self.me.name:
+                continue
+            old = known.get(peer.name)
+            kept = old if old is not None and old.peer.instance == peer.instance else None
+            self.watched[peer.name] = kept or Watched(peer, heard=now)
+            self.watched[peer.name].peer = peer
+        self.order = [name for name in self.order if name in self.watched]
+        self.rumors = {n: r for n, r in self.rumors.items() if n in self.watched or n == self.me.name}
+        self.probe = [p for p in self.probe if p.name in self.watched]
+
+    def alive(self, name: str) -> bool:
+        """Whether a member is held for alive: not suspected, not dead."""
+        watched = self.watched.get(name)
+        return name == self.me.name or (watched is not None and watched.health is Health.ALIVE)
+
+    def dead(self) -> list[str]:
+        """The members held for dead."""
+        return [name for name, w in self.watched.items() if w.health is Health.DEAD]
+
+    def suspicion(self, watched: Watched) -> float:
+        """How long a suspicion lasts now, s."""
+        scale = PERIOD * spread(len(self.watched) + 1)
+        least, most = SUSPECT_LEAST * scale, SUSPECT_MOST * scale
+        expected = min(CONFIRMED, max(0, len(self.watched) - 1))  # others that may confirm
+        if expected == 0:
+            return least
+        confirmed = min(expected, len(watched.by) - 1)
+        return most - (most - least) * math.log(confirmed + 1) / math.log(expected + 1)
+
+    # Time.
+
+    @property
+    def due(self) -> float:
+        """When to be woken next."""
+        dues = [self.next_period, *(e.until for e in self.errands.values())]
+        dues += [p.began + self._patience for p in self.probe if not p.asked]
+        dues += [w.since + self.suspicion(w) for w in self.watched.values() if w.health is Health.SUSPECT]
+        return min(dues)
+
+    @property
+    def _period(self) -> float:
+        return PERIOD * (1 + self.score)
+
+    @property
+    def _patience(self) -> float:
+        return ASK_OTHERS * self._period
+
+    def paused(self, now: float) -> None:
+        """Go on after a stop of the own process: nothing that fell due meanwhile counts."""
+        self.probe.clear()
+        self.errands.clear()
+        self.score = HEALTH_WORST
+        for w in self.watched.values():
+            w.since = now if w.health is Health.SUSPECT else w.since
+        self.next_period = now
+
+    def wake(self, now: float) -> None:
+        """Do what is due."""
+        for seq, errand in list(self.errands.items()):
+            if now >= errand.until:
+                del self.errands[seq]
+                self.out.append((errand.origin, m.Nack(errand.seq)))
+        for probe in self.probe:
+            if not probe.asked and now >= probe.began + self._patience:
+                self._ask_others(probe)
+        if now >= self.next_period:
+            self.next_period = now + self._period
+            self._judge(now)
+            self._begin(now)
+        for name, w in self.watched.items():
+            if w.health is Health.SUSPECT and now >= w.since + self.suspicion(w):
+                w.health, w.since, self.changed = Health.DEAD, now, True
+                self.rumors.pop(name, None)
+
+    def _begin(self, now: float) -> None:
+        self.periods += 1
+        if not self.order:
+            self.order = [name for name, w in self.watched.items() if w.health is not Health.DEAD]
+            self.random.shuffle(self.order)
+        if self.order:
+            self._send_probe(self.order.pop(), now)
+        if self.periods % DEAD_EVERY == 0 and (gone := self.dead()):
+            self.seq += 1
+            self.out.append((self.random.choice(gone), m.Ping(self.seq)))
+
+    def _send_probe(self, name: str, now: float) -> None:
+        self.seq += 1
+        self.probe.append(Probe(self.seq, name, now))
+        self.out.append((name, m.Ping(self.seq, self.watched[name].peer.instance)))
+
+    def look_at(self, name: str, now: float) -> None:
+        """Probe a member out of turn: somebody holds it for dead."""
+        if name in self.watched and all(p.name != name for p in self.probe):
+            self._send_probe(name, now)
+
+    def _ask_others(self, probe: Probe) -> None:
+        probe.asked = True
+        others = [n for n, w in self.watched.items() if n != probe.name and w.health is Health.ALIVE]
+        helpers = self.random.sample(others, min(HELPERS, len(others)))
+        probe.nacks, probe.helped = len(helpers), bool(helpers)
+        self.out += [(name, m.PingFor(probe.seq, probe.name)) for name in helpers]
+        self.over_tcp.append((probe.name, probe.seq))
+
+    def _judge(self, now: float) -> None:
+        """The period is over: what has had time enough and no answer is suspected."""
+        for probe in list(self.probe):
+            if now < probe.began + 0.9 * self._period:
+                continue
+            self.probe.remove(probe)
+            # Helpers that did not even say that they had no answer put my own network in doubt; where
+            # there is none to ask, nothing tells whose fault it is.
+            self._health(min(2, probe.nacks) if probe.helped else 1)
+            if (w := self.watched.get(probe.name)) is not None:
+                self._suspect(w, self.me.name, w.incarnation, now)
+
+    def _health(self, by: int) -> None:
+        self.score = min(HEALTH_WORST, max(0, self.score + by))
+
+    # What others say.
+
+    def heard(self, name: str, instance: int, incarnation: int, now: float) -> None:
+        """A packet of this life came."""
+        w = self.watched.get(name)
+        if w is None or w.peer.instance != instance:
+            return
+        w.heard = now
+        if incarnation > w.incarnation:
+            self._alive(w, incarnation)
+
+    def ping(self, name: str, ping: m.Ping) -> None:
+        self.out.append((name, m.Ack(ping.seq, self.me.instance)))
+
+    def ack(self, name: str, ack: m.Ack, now: float) -> None:
+        """An answer; of another life than the one that is watched it proves that this one is over."""
+        w = self.watched.get(name)
+        if w is not None and ack.instance not in (0, w.peer.instance):
+            self.over(name, now)
+        elif w is not None and w.health is Health.DEAD:
+            # It answers: a partition has healed. It is suspected until it contradicts.
+            w.health, w.since, self.changed = Health.SUSPECT, now, True
+            w.by = {self.me.name}
+        for probe in self.probe:
+            if probe.seq == ack.seq:
+                self.probe.remove(probe)
+                self._health(-1)
+                return
+        if (errand := self.errands.pop(ack.seq, None)) is not None:
+            self.out.append((errand.origin, m.Ack(errand.seq, 0)))
+
+    def over(self, name: str, now: float) -> None:
+        """A member's life is over for sure: its relay has begun another."""
+        if (w := self.watched.get(name)) is not None and w.health is not Health.DEAD:
+            w.health, w.since, self.changed = Health.DEAD, now, True
+            self.rumors.pop(name, None)
+
+    def answered_over_tcp(self, seq: int) -> None:
+        """A member that lost a datagram answered over TCP."""
+        self.probe = [p for p in self.probe if p.seq != seq]
+
+    def ping_for(self, origin: str, asked: m.PingFor, now: float) -> None:
+        if (w := self.watched.get(asked.name)) is None:
+            return
+        self.seq += 1
+        self.errands[self.seq] = Errand(origin, asked.seq, now + ASK_OTHERS * PERIOD)
+        self.out.append((asked.name, m.Ping(self.seq, w.peer.instance)))
+
+    def nack(self, nack: m.Nack) -> None:
+        for probe in self.probe:
+            if probe.seq == nack.seq:
+                probe.nacks = max(0, probe.nacks - 1)
+
+    def rumor(self, rumor: m.Rumor, now: float) -> None:
+        """Take in what somebody says."""
+        if rumor.name == self.me.name:
+            if rumor.instance == self.me.instance and rumor.state == m.SUSPECT:
+                if rumor.incarnation >= self.incarnation:
+                    self.incarnation = rumor.incarnation + 1
+                    self._health(+1)
+                self._tell(m.Rumor(self.me.name, self.me.instance, self.incarnation, m.ALIVE))
+            return
+        w = self.watched.get(rumor.name)
+        if w is None or w.peer.instance != rumor.instance:
+            return
+        if rumor.state == m.ALIVE:
+            if rumor.incarnation > w.incarnation:
+                self._alive(w, rumor.incarnation)
+        else:
+            self._suspect(w, rumor.by, rumor.incarnation, now)
+
+    def _alive(self, w: Watched, incarnation: int) -> None:
+        w.incarnation = incarnation
+        if w.health is not Health.ALIVE:
+            w.health, self.changed = Health.ALIVE, True
+            w.by.clear()
+        self._tell(m.Rumor(w.peer.name, w.peer.instance, incarnation, m.ALIVE))
+
+    def _suspect(self, w: Watched, by: str, incarnation: int, now: float) -> None:
+        if incarnation < w.incarnation or w.health is Health.DEAD:
+            return
+        if w.health is Health.ALIVE:
+            w.health, w.since, w.by = Health.SUSPECT, now, set()
+            self.changed = True
+            if by != self.me.name and self.random.random() * len(self.watched) < WITNESSES:
+                # some find out for themselves, so that it need not take its turn
+                self.look_at(w.peer.name, now)
+        elif incarnation > w.incarnation:
+            w.since, w.by = now, set()
+        w.incarnation = incarnation
+        if by not in w.by and len(w.by) <= CONFIRMED:
+            w.by.add(by)
+            self._tell(m.Rumor(w.peer.name, w.peer.instance, incarnation, m.SUSPECT, by))
+
+    def _tell(self, rumor: m.Rumor) -> None:
+        self.rumors[rumor.name] = rumor, RETELL * spread(len(self.watched) + 1)
+
+    def pick_rumors(self, to: str) -> tuple[m.Rumor, ...]:
+        """What to tell a member with the next packet: first what is said of itself, then the least told.
+
+        A member that is doubted hears of it from whoever speaks to it, so that it can contradict (Lifeguard's
+        buddy system).
+        """
+        picked = []
+        if (w := self.watched.get(to)) is not None and w.health is not Health.ALIVE:
+            picked.append(m.Rumor(to, w.peer.instance, w.incarnation, m.SUSPECT, self.me.name))
+        waiting = sorted(self.rumors.items(), key=lambda r: -r[1][1])
+        for name, (rumor, left) in waiting[: m.RUMORS_MOST - len(picked)]:
+            picked.append(rumor)
+            if left <= 1:
+                del self.rumors[name]
+            else:
+                self.rumors[name] = rumor, left - 1
+        return tuple(picked)
--- a/violetdoor/fronts/line/front.py
+++ b/violetdoor/fronts/line/front.py
@@ -72,7 +72,6 @@
         self.returns: deque[float] = deque(maxlen=RETURNS_MOST)  # when clients came that were moved or broke
         self.standing: set[Session] = set()
         core.prober = self.probe
-        figures.gauges["active"] = lambda: len(self.open)
 
     def reconfigure(self, options: LineOptions) -> None:
         """Take these classes, tenants and meanings of a line from now on.
--- /dev/null
+++ b/violetdoor/fronts/line/service.py
@@ -0,0 +1,61 @@
+"""The line front as the program's service."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+
+from violetdoor.config import Config
+from violetdoor.fronts.line.front import LineFront
+from violetdoor.services import Front, Host, Message
+
+
+class LineService(Front):
+    """Takes the clients of the line protocol."""
+
+    def __init__(self, host: Host) -> None:
+        c = host.config
+        self.core = host.core
+        self.front = LineFront(
+            c.listen, host.core, host.directory, host.counts, host.figures, c.line, c.sockets, host.listener,
+            host.rules, host.gate,
+        )  # fmt: skip
+        self.acceptor = self.front.acceptor
+        self.ids_told: set[str] = set()
+
+    async def serve(self) -> None:
+        await self.front.run()
+
+    async def leave(self) -> None:
+        await self.front.leave()
+
+    def queued(self) -> float:
+        return self.front.queued()
+
+    def relieve(self, pressed: bool, move: bool) -> None:
+        self.front.relieve(pressed, move)
+
+    def reload(self, new: Config) -> None:
+        self.front.reconfigure(new.line)
+
+    def gauges(self) -> Mapping[str, Callable[[], int]]:
+        return {"active": lambda: len(self.front.open)}
+
+    def give(self) -> Message:
+        self.ids_told.clear()
+        return {"ids": self._fresh_ids()}
+
+    def still_held(self) -> Message:
+        return super().still_held() | {"ids": self._fresh_ids()}
+
+    def told(self, message: Message) -> None:
+        super().told(message)
+        self.front.learn_ids(message.get("ids", ()))
+
+    def _fresh_ids(self) -> list[str]:
+        """Ids that were not told yet."""
+        fresh = [name for name in self.front.ids() if name not in self.ids_told]
+        self.ids_told.update(fresh)
+        return fresh
+
+
+service = LineService
--- a/violetdoor/fronts/nats/front.py
+++ b/violetdoor/fronts/nats/front.py
@@ -67,7 +67,6 @@
         self.identity = os.urandom(28).hex().upper()
         self.leaving = False
         self.sessions: set[Session] = set()
-        figures.gauges["active"] = lambda: sum(bool(s.cls) for s in self.sessions)
         self.numbers = itertools.count(1)
         full = self.info(0) + error("maximum connections exceeded")
         self.acceptor = Acceptor(address, self.session, counts, sockets, full, listener)
--- /dev/null
+++ b/violetdoor/fronts/nats/service.py
@@ -0,0 +1,48 @@
+"""The NATS front as the program's service."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+
+from violetdoor.config import Config
+from violetdoor.fronts.nats.front import NatsFront
+from violetdoor.services import Front, Host, Message
+
+
+class NatsService(Front):
+    """Takes NATS clients."""
+
+    def __init__(self, host: Host) -> None:
+        c = host.config
+        assert c.nats is not None
+        self.core = host.core
+        self.front = NatsFront(
+            c.listen, host.core, host.directory, host.counts, host.figures, c.nats, c.deadlines, c.sockets,
+            c.name, host.listener, host.rules, host.gate,
+        )  # fmt: skip
+        self.acceptor = self.front.acceptor
+
+    async def serve(self) -> None:
+        await self.front.run()
+
+    async def leave(self) -> None:
+        await self.front.leave()
+
+    def queued(self) -> float:
+        return self.front.queued()
+
+    def relieve(self, pressed: bool, move: bool) -> None:
+        self.front.relieve(pressed, move)
+
+    def reload(self, new: Config) -> None:
+        if new.nats is not None:
+            self.front.reconfigure(new.deadlines, new.nats.tenants)
+
+    def gauges(self) -> Mapping[str, Callable[[], int]]:
+        return {"active": lambda: sum(bool(s.cls) for s in self.front.sessions)}
+
+    def give(self) -> Message:
+        return {"ids": []}
+
+
+service = NatsService
--- /dev/null
+++ b/violetdoor/maintenance/__init__.py
@@ -0,0 +1,1 @@
+"""Servers that operators leave out by hand."""
--- a/violetdoor/maintenance.py
+++ b/violetdoor/maintenance/bans.py
@@ -1,12 +1,10 @@
-"""Servers that operators leave out by hand: in force in the core, kept for the process that takes over."""
+"""Servers that are left out by hand: in force in the core, kept for the process that takes over."""
 
 from __future__ import annotations
 
 import logging
 import os
-from collections.abc import Callable
 from pathlib import Path
-from typing import Any
 
 import orjson
 
@@ -15,12 +13,11 @@
 log = logging.getLogger("violetdoor.maintenance")
 
 
-class Maintenance:
-    """Carries the operators' bans out and keeps them in a file that an upgrade's other process reads."""
+class Bans:
+    """Puts the operators' bans in force and keeps them in a file that an upgrade's other process reads."""
 
     def __init__(self, core: Controller, path: Path | None) -> None:
         self.core, self.path = core, path
-        self.tell: Callable[[dict[str, Any]], None] = lambda _: None  # the other process of an upgrade
 
     def restore(self) -> None:
         """Lay the kept bans over the list; a file that does not read is left alone and told of."""
@@ -32,12 +29,11 @@
             log.error("the kept bans do not read: %s", err)
         self.core.named.update(self.core.bans)
 
-    def leave_out(self, server: str) -> bool:
+    def leave_out(self, server: str, since: float) -> bool:
         """Send nothing new to this server; False for one that no list has named."""
-        if not self.core.ban(server, self.core.now()):
+        if not self.core.ban(server, since):
             return False
         self._keep()
-        self.tell({"ban": [server, self.core.bans[server]]})
         return True
 
     def put_back(self, server: str) -> bool:
@@ -45,7 +41,6 @@
         if not self.core.lift(server):
             return False
         self._keep()
-        self.tell({"lift": server})
         return True
 
     def _keep(self) -> None:
--- /dev/null
+++ b/violetdoor/net/listing.py
@@ -0,0 +1,67 @@
+"""The list of servers as a service: from discovery or from the file, and from the process before this one."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+
+from lynxdeck import interface as i
+from violetdoor.config import Config, ConfigError
+from violetdoor.net.discovery import Watch
+from violetdoor.services import Host, Message, Service
+
+
+class Listing(Service):
+    """Keeps the core's list as the settings say that it comes."""
+
+    def __init__(self, host: Host) -> None:
+        self.host, self.core, self.directory = host, host.core, host.directory
+        config = host.config
+        self.watch: Watch | None = None
+        if config.discovery is not None:
+            self.watch = Watch(config.discovery, self.directory, self.core.listed, host.counts)
+            self.core.follow = self.watch.follow
+        if host.inherited is not None:
+            self._take_over(host.inherited)
+        else:
+            kind = i.ListKind.COMPLETE if self.watch is None else i.ListKind.REMEMBERED
+            self.core.listed(self.directory.read(config.known, kind))
+        if self.watch is not None:
+            self.watch.push(not config.settings.ask_list)
+
+    def _take_over(self, state: Message) -> None:
+        """Start from all that the process before this one knew."""
+        core = self.core
+        core.named.update(state["named"])
+        rows = [i.ServerEntry(**row | {"state": i.ServerState(row["state"])}) for row in state["entries"]]
+        entries = {entry.server: entry for entry in rows}
+        servers = tuple(i.ServerKnown(**row) for row in state["knowledge"]["servers"])
+        known = {n: state["knowledge"][n] for n in ("fleet", "unit", "quickest", "late")}
+        core.take_over(i.Knowledge(**known, servers=servers), entries)
+        self.directory.addresses = {name: (host, port) for name, (host, port) in state["addresses"].items()}
+        self.directory.go_on(state["version"], entries.values())
+
+    async def stop(self) -> None:
+        if self.watch is not None:
+            await self.watch.stop()
+
+    def check(self, new: Config) -> None:
+        if (new.discovery is None) != (self.watch is None):
+            raise ConfigError("from discovery to a list of servers, or back, takes a restart")
+
+    def reload(self, new: Config) -> None:
+        if self.watch is not None and new.discovery is not None:
+            if new.discovery != self.watch.address:  # else all relays of a site would ask anew together
+                self.watch.go_over(new.discovery)
+            self.watch.push(not new.settings.ask_list)
+        else:
+            self.core.listed(self.directory.read(new.known, i.ListKind.COMPLETE))
+
+    def gauges(self) -> Mapping[str, Callable[[], int]]:
+        return {"pool_size": lambda: len(self.core.entries), "pool_ejected": self.core.avoided}
+
+    def give(self) -> Message:
+        return {
+            "named": sorted(self.core.named), "entries": list(self.core.entries.values()),
+            "addresses": self.directory.addresses, "version": self.directory.version,
+            "knowledge": self.core.balancer.knowledge(),
+        }  # fmt: skip
--- /dev/null
+++ b/violetdoor/overload/service.py
@@ -0,0 +1,54 @@
+"""Shedding as a service: the gate that fronts ask, and the meter that feeds it."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+
+from violetdoor.config import Config
+from violetdoor.console.server import Answer
+from violetdoor.overload.controller import Controller
+from violetdoor.overload.gate import Gate
+from violetdoor.overload.measure import Meter, Sources
+from violetdoor.services import Host, Service
+
+
+class Overload(Service):
+    """Turns requests away before the relay falls behind."""
+
+    def __init__(self, host: Host) -> None:
+        self.host = host
+        overload = host.config.overload
+        assert overload is not None
+        self.options = overload
+        worth = {name: one.worth for name, one in host.config.settings.classes.items()}
+        controller = Controller(worth, overload.cores)
+        self.gate = host.gate = Gate(controller, lambda: host.config.settings.max_retry_after)
+        host.core.spares = lambda: self.gate.spares
+        self.meter: Meter | None = None
+
+    async def start(self) -> None:
+        front, options = self.host.front, self.options
+        acceptor, most = front.acceptor, options.queued_mb * (1 << 20)
+        sources = Sources(
+            acceptor.sock, lambda: acceptor.held() / acceptor.room, lambda: front.queued() / most,
+            front.relieve, lambda: float(acceptor.beside_memory),
+        )  # fmt: skip
+        limit = (options.memory_mb or 0.0) * (1 << 20)
+        self.meter = Meter(self.gate, sources, self.host.counts, limit)
+
+    async def stop(self) -> None:
+        if self.meter is not None:
+            self.meter.close()
+
+    def reload(self, new: Config) -> None:
+        self.gate.worth({name: one.worth for name, one in new.settings.classes.items()})
+
+    def call(self, method: str, path: list[str]) -> Answer | None:
+        if path != ["overload"] or self.meter is None:
+            return None
+        if method != "GET":
+            return HTTPStatus.METHOD_NOT_ALLOWED, "another method is wanted\n"
+        return HTTPStatus.OK, self.meter.text()
+
+
+service = Overload
--- /dev/null
+++ b/violetdoor/rules/service.py
@@ -0,0 +1,66 @@
+"""Match rules as a service: compiled at the start and at each SIGHUP, swapped as a whole."""
+
+from __future__ import annotations
+
+import logging
+from http import HTTPStatus
+
+from violetdoor.config import Config, ConfigError, with_rules
+from violetdoor.console.server import Answer
+from violetdoor.rules.force import Rules
+from violetdoor.rules.source import Compiled, RulesFaultError, compile_beside, compile_now
+from violetdoor.services import Host, Service
+
+log = logging.getLogger("violetdoor")
+
+
+def compiled(config: Config) -> Compiled:
+    """The rules to begin with; ConfigError with the first fault and the number of the others."""
+    assert config.rules is not None
+    try:
+        return compile_now(config.rules)
+    except RulesFaultError as err:
+        first, *more = str(err).splitlines()
+        others = f" (and {len(more)} more: violetdoor config check)" if more else ""
+        raise ConfigError(first + others) from err
+
+
+class RulesService(Service):
+    """Has the rules in force; `begin` made them before the program started."""
+
+    begin: Compiled | None = None
+
+    def __init__(self, host: Host) -> None:
+        assert self.begin is not None
+        self.rules = host.rules = Rules(host.counts, self.begin)
+        type(self).begin = None
+
+    def check(self, new: Config) -> None:
+        if new.rules is None:
+            raise ConfigError("from rules to none, or back, takes a restart")
+
+    def prepares(self, new: Config, told: bool) -> bool:
+        # A SIGHUP reads the files of the sets again, whatever the text.
+        return new.rules is not None and not (told and new.rules.same(self.rules.source))
+
+    async def prepare(self, new: Config, told: bool) -> Config:
+        if new.rules is None or not self.prepares(new, told):
+            return new
+        try:
+            made = await compile_beside(new.rules)
+        except (RulesFaultError, OSError) as err:
+            for line in str(err).splitlines()[1:]:
+                log.error("rules: %s", line)
+            raise ConfigError(str(err).partition("\n")[0]) from err
+        await self.rules.swap(made)
+        return with_rules(new, made.source)
+
+    def call(self, method: str, path: list[str]) -> Answer | None:
+        if path != ["rules"]:
+            return None
+        if method != "GET":
+            return HTTPStatus.METHOD_NOT_ALLOWED, "another method is wanted\n"
+        return HTTPStatus.OK, self.rules.text()
+
+
+service = RulesService
--- a/violetdoor/settings.py
+++ b/violetdoor/settings.py
@@ -160,6 +160,20 @@
     files: dict[str, str] | None = None  # what the sets' files held, where a predecessor gave its own
 
 
+class Fleet(Closed):
+    """The relays that keep a view of one another; off without this table."""
+
+    listen: Address  # datagrams and calls of the other relays
+    key: Name  # file of the shared key, beside this one
+    seeds: list[Address] = []  # relays that are asked to let this one in
+    founders: list[Name] = []  # names of the relays that begin a fleet together
+    advertise: Address | None = None  # where the others reach this one, if not at `listen`
+    state: Name | None = None  # file that keeps what a restart must not forget
+    wait: Positive = 2.0  # s that a start waits for the fleet before it takes clients
+    wire: Literal[1, 2] = 2  # newest version that is spoken
+    routes: dict[str, Address] = {}  # where single relays are reached from here, by their names
+
+
 class Operator(Closed):
     """An operator's file, TOML or JSON."""
 
@@ -178,6 +192,8 @@
     line: Line = field(default_factory=Line)
     rules: Rules | None = None
     overload: Overload | None = None
+    fleet: Fleet | None = None
+    log: Literal["plain", "json"] = "plain"
     tenants: list[Tenant] = []
     servers: list[Server] = []
 
@@ -292,9 +308,20 @@
         yield Fault((), "'tenants' is missing: the NATS front lets in only those that tenants or rules name")
     if o.rules is not None and (o.rules.file is None) == (o.rules.text is None):
         yield Fault(("rules",), "either file or text is wanted")
-    for place, text in (("listen", o.listen), ("console", o.console), ("discovery", o.discovery)):
+    places: list[tuple[Path, str | None]] = [
+        (("listen",), o.listen), (("console",), o.console), (("discovery",), o.discovery)
+    ]  # fmt: skip
+    if (fleet := o.fleet) is not None:
+        if o.name is None:
+            yield Fault((), "'name' is missing: the others of a fleet know a relay by it")
+        if not fleet.seeds and o.name not in fleet.founders:
+            yield Fault(("fleet",), "neither seeds to ask nor itself among the founders: it would stay alone")
+        places += [(("fleet", "listen"), fleet.listen), (("fleet", "advertise"), fleet.advertise)]
+        places += [(("fleet", "seeds", n), seed) for n, seed in enumerate(fleet.seeds)]
+        places += [(("fleet", "routes", name), route) for name, route in fleet.routes.items()]
+    for place, text in places:
         if text is not None and not _port(text):
-            yield Fault((place,), f"found {text!r}, expected host:port")
+            yield Fault(place, f"found {text!r}, expected host:port")
     for n, server in enumerate(o.servers):
         if not _port(server.addr):
             yield Fault(("servers", n, "addr"), f"found {server.addr!r}, expected host:port")
