A client that left while it waited is seen behind any lines that it sent before

Cause: with a whole line behind the first one `from_client` waited for the server's word and read no more, so an end that stood unread behind those lines was seen only once a server answered; the request was sent on, and tried again, for nobody. A decision that its owner had not taken up yet, and a server's word in the very round of the client's end, were carried out too: Abandoned, then Established, for one request.

Ruled out: a lost byte or a larger buffer (lines that came early go on as soon as the server is there; 4 KiB are read as before).

Change: while a whole line waits the client is read on into the same buffer; once that is full its end is looked for every 0.1 s (POLLRDHUP). A void decision is answered with Left, an attempt begins and writes only for a client that is there. An attempt that is given up ends by a reset, so that nothing of its line is delivered later; only a whole UP or BUSY line is taken at its word, a spoilt one may have run; a line without end from a server moves its client; half a line before a server's end is passed on and no word follows it.

--- a/tests/standins.py
+++ b/tests/standins.py
@@ -80,10 +80,12 @@
             return
         self.opened.append(first)
         writer.write(self.first)
-        while line := await reader.readline():
-            if self.echo:
-                writer.write(b"re " + line)
-        self.ended += 1
+        try:
+            while line := await reader.readline():
+                if self.echo:
+                    writer.write(b"re " + line)
+        finally:  # in order or by a reset: an attempt that is given up ends by one
+            self.ended += 1
 
 
 class Discovery(Standin):
--- a/violetdoor/core/controller.py
+++ b/violetdoor/core/controller.py
@@ -75,6 +75,8 @@
         """Wait for what to do next; after a Send, say how it went before asking again."""
         choice = await self._next
         if isinstance(choice, i.Send):
+            if self.over:  # the client left between the decision and this word of it
+                return Left()
             self._next = self._controller.loop.create_future()
         return choice
 
@@ -139,7 +141,9 @@
             return
         self.over = True
         self._controller.handle(i.Abandoned(self.id))
-        if not self._next.done():
+        if self._next.done():
+            self._out = False  # that attempt is never begun
+        else:
             self._next.set_result(Left())
 
     def close(self) -> None:
--- a/violetdoor/fronts/line/session.py
+++ b/violetdoor/fronts/line/session.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
+import re
 from collections.abc import Mapping
 from typing import TYPE_CHECKING
 
@@ -11,7 +13,15 @@
 from violetdoor.core import Left, Ticket
 from violetdoor.fronts.line.opening import Opening, RuledOutError, SyntaxFaultError, parse
 from violetdoor.fronts.line.reports import load_report
-from violetdoor.net.sockets import LineSocket, LineTooLongError, connect, send_parts
+from violetdoor.net.sockets import (
+    LINE_MOST,
+    LineSocket,
+    LineTooLongError,
+    connect,
+    ended,
+    readable,
+    send_parts,
+)
 
 if TYPE_CHECKING:
     from violetdoor.fronts.line.front import LineFront
@@ -22,6 +32,11 @@
 ADOPT_TIME, ADOPT_PAUSE = 35.0, 0.3  # s to bring up a connection from before the run; between two tries
 MOVE_WRITE = 0.5  # s that a client has to take its MOVE
 CLIENT_WRITE = 5.0  # s that a client may leave its lines unread
+# The only answers of a server that are taken at their word. Guards against a spoilt one: half an UP would be
+# passed on for a connection that stands, something like BUSY be taken for the word that nothing ever ran.
+UP = re.compile(rb"UP [!-~][ -~]*\r\n")
+BUSY = re.compile(rb"BUSY(?: [!-~]+)?\r\n")
+LEFT_LOOK = 0.1  # s between two looks for a client's end behind a full buffer; seen within 0.3
 
 
 class Session:
@@ -36,6 +51,9 @@
         self.up: asyncio.Future[None] = self.loop.create_future()  # its server is there
         self.writing = asyncio.Lock()  # held while lines go to the client: MOVE comes between them
         self.answered = False  # the one final answer is given
+        self.sent = False  # a server had its first line
+        self.moved = False  # its MOVE is given: nothing follows
+        self.torn = False  # a write to the client was broken off: what follows may not start a line
         self.cls = ""  # once the first line has told it
         self.farewell = ""  # BYE or MOVE, once the server said it
         self.report: Mapping[str, float] = {}  # that came with a server's last word
@@ -44,18 +62,14 @@
         """Answer a first line: a check of the front, or a request."""
         client, front = self.client, self.front
         try:
-            async with asyncio.timeout(FIRST_LINE):
-                length = await client.line()
+            length = await self.first_line()
         except TimeoutError:
             front.counts["no_first_line"] += 1
-            await self.answer("failed", b"ERR\r\n")
+            if client.used:  # it stopped in the middle of its line
+                await self.answer("failed", b"ERR\r\n")
+            else:  # its line may be on the way in this moment: this is the answer to it, too
+                await self.answer("busy", self.busy)
             return
-        while length and client.buffer[:length].rstrip(b"\r\n") == b"PING":
-            front.counts["pings"] += 1
-            client.consume(length)
-            await send_parts(client.sock, [b"PONG\r\n"])
-            async with asyncio.timeout(front.idle):
-                length = await client.line()
         if not length:
             return
         arrived = self.core.now()  # its time runs from the last byte, however many pieces the line came in
@@ -91,17 +105,40 @@
         finally:
             front.end_id(opening.id)
 
+    async def first_line(self) -> int:
+        """Answer checks of the front; the length of the line that says what is wanted, 0 at the end."""
+        client, patience = self.client, FIRST_LINE
+        while True:
+            async with asyncio.timeout(patience):
+                length = await client.line()
+            if not length or client.buffer[:length].rstrip(b"\r\n") != b"PING":
+                return length
+            self.front.counts["pings"] += 1
+            client.consume(length)
+            await send_parts(client.sock, [b"PONG\r\n"])
+            patience = self.front.idle
+
+    @property
+    def left(self) -> bool:
+        """Whether the client has ended; its end may still stand behind lines that were not read."""
+        return self.gone.done() or ended(self.client.sock)
+
+    @property
+    def busy(self) -> bytes:
+        """What a client is told that may come again at once."""
+        return b"BUSY %d\r\n" % self.front.leave_retry
+
     async def opened(self, opening: Opening, arrived: float) -> None:
         """Serve a client that sent a sound line."""
         front = self.front
         reader = self.loop.create_task(self.from_client())
         try:
             if not front.acceptor.admit():
-                await self.answer("busy", b"BUSY %d\r\n" % front.leave_retry)
+                await self.answer("busy", self.busy)
             elif opening.at:
                 await self.bring_back(opening)
             elif front.leaving and not front.succeeded:
-                await self.answer("busy", b"BUSY %d\r\n" % front.leave_retry)
+                await self.answer("busy", self.busy)
             else:
                 await self.request(opening, arrived)
         finally:
@@ -110,7 +147,7 @@
             reader.cancel()
             await asyncio.gather(reader, return_exceptions=True)
             if self.server is not None:
-                self.server.close()
+                self.server.close(reset=self.client.reset)
 
     async def request(self, opening: Opening, arrived: float) -> None:
         """Ask the core what to do until the request has its one final answer."""
@@ -142,12 +179,13 @@
                     return
                 case i.Send():
                     result = await self.attempt(opening, choice.server, choice.give_up)
+                    if self.gone.done() or result is i.Result.CANCELLED:
+                        ticket.left()  # also in the very moment in which its server took it
+                        result = i.Result.CANCELLED if result is i.Result.OK else result
                     if result is i.Result.OK:
                         ticket.established()
                         await self.standing(ticket)
                         return
-                    if self.gone.done():
-                        ticket.left()
                     ticket.ended(result, report=self.report)
 
     async def bring_back(self, opening: Opening) -> None:
@@ -175,14 +213,16 @@
         await send_parts(self.client.sock, [line])
 
     async def answer_fault(self) -> None:
-        """After a fault of this program: an answer where one is still owed, else a MOVE."""
-        if self.answered:
-            await self.move()
-        else:
+        """After a fault of this program: an answer where one is owed, a MOVE where the client stands."""
+        if not self.answered:
             await self.answer("failed", b"ERR\r\n")
+        elif self.up.done():
+            await self.move()
 
     async def attempt(self, opening: Opening, server: str, give_up: float, named: bool = False) -> i.Result:
         """Try one server; its connection is kept when it is up, else closed. A client that leaves ends it."""
+        if self.left:
+            return i.Result.CANCELLED
         trying = self.loop.create_task(self.try_server(opening, server, give_up, named))
         try:
             await asyncio.wait((trying, self.gone), return_when=asyncio.FIRST_COMPLETED)
@@ -210,36 +250,51 @@
         except OSError:
             return i.Result.UNREACHABLE
         link = LineSocket(sock)
-        kept = False
+        result: i.Result | None = None  # none: this attempt is given up by its owner
         try:
-            # The list may have changed while the connection came up: a draining server gets no byte.
-            if not named and not self.core.may_send(server):
-                self.front.counts["drain_kept"] += 1
-                return i.Result.UNREACHABLE
-            left = give_up - self.core.now()
-            try:
-                async with asyncio.timeout(left / 1000):
-                    try:
-                        await send_parts(sock, opening.parts(left))
-                    except OSError:
-                        return i.Result.UNREACHABLE
-                    self.front.figures.count("tries", opening.cls)
-                    length = await link.line()
-            except TimeoutError:
-                return i.Result.TIMEOUT
-            word = bytes(link.buffer[:length]).split(b" ")[0].rstrip(b"\r\n")
-            if word == b"UP":
-                self.server, kept = link, True
-                return i.Result.OK
-            if not length:
-                return i.Result.RESET
-            self.report = load_report(bytes(link.buffer[:length]))
-            return i.Result.FULL if word == b"BUSY" else i.Result.ERROR
+            result = await self.exchange(opening, link, server, give_up, named)
+            if result is i.Result.OK:
+                self.server = link
+            return result
+        finally:
+            # One that is given up must be over before another begins: what the system still holds of its line
+            # goes with a reset. An end in order would have it delivered when a silent server is back.
+            if result is not i.Result.OK:
+                link.close(reset=result is None or result is i.Result.TIMEOUT)
+
+    async def exchange(
+        self, opening: Opening, link: LineSocket, server: str, give_up: float, named: bool
+    ) -> i.Result:
+        """Send the line on a connection that is up, read the server's first answer."""
+        # The list may have changed while the connection came up: a draining server gets no byte.
+        if not named and not self.core.may_send(server):
+            self.front.counts["drain_kept"] += 1
+            return i.Result.UNREACHABLE
+        if self.left:
+            return i.Result.CANCELLED
+        left = give_up - self.core.now()
+        if left <= 0:  # no byte of it is written
+            return i.Result.UNREACHABLE
+        try:
+            async with asyncio.timeout(left / 1000):
+                try:
+                    await send_parts(link.sock, opening.parts(left))
+                except OSError:  # the system takes nothing of a write that fails: the last byte is not out
+                    return i.Result.UNREACHABLE
+                self.front.figures.count("tries", opening.cls)
+                self.sent = True
+                length = await link.line()
+        except TimeoutError:
+            return i.Result.TIMEOUT
         except LineTooLongError:
             return i.Result.ERROR
-        finally:
-            if not kept:
-                link.close()
+        if not length:
+            return i.Result.RESET
+        answer = bytes(link.buffer[:length])
+        if UP.fullmatch(answer):
+            return i.Result.OK
+        self.report = load_report(answer)
+        return i.Result.FULL if BUSY.fullmatch(answer) else i.Result.ERROR
 
     async def standing(self, ticket: Ticket) -> None:
         """Pass lines both ways until one side ends, the core moves the client, or the server is silent."""
@@ -254,13 +309,10 @@
             ends = (down, self.gone, ticket.move, ticket.silent)
             await asyncio.wait(ends, return_when=asyncio.FIRST_COMPLETED)
             if down.done():
-                down.result()
-                server = self.server
-                ended = {"BYE": i.Result.OK, "MOVE": i.Result.CANCELLED}.get(self.farewell, i.Result.RESET)
-                counts[f"ended_{ended.value}"] += 1
-                ticket.ended(ended, final=True, report=self.report)
-                self.client.reset = server is not None and server.reset
-                if front.gate is not None and ended is not i.Result.OK:
+                result = await self.server_ended(down)
+                counts[f"ended_{result.value}"] += 1
+                ticket.ended(result, final=True, report=self.report)
+                if front.gate is not None and result is not i.Result.OK:
                     front.gate.sent_away()
             elif self.gone.done():
                 counts["ended_by_client"] += 1
@@ -276,14 +328,41 @@
             down.cancel()
             await asyncio.gather(down, return_exceptions=True)
 
+    async def server_ended(self, down: asyncio.Task[None]) -> i.Result:
+        """See that the client has what its server's end calls for; how the connection ended."""
+        server = self.server
+        assert server is not None
+        try:
+            down.result()
+        except LineTooLongError:  # the client had whole lines only: it may go elsewhere
+            log.warning("a server's line is too long: its client is moved")
+            await self.move()
+            return i.Result.ERROR
+        self.client.reset = server.reset
+        return {"BYE": i.Result.OK, "MOVE": i.Result.CANCELLED}.get(self.farewell, i.Result.RESET)
+
     async def move(self) -> None:
         """Tell the client to come again; nothing follows the word."""
         try:
             async with asyncio.timeout(MOVE_WRITE), self.writing:
-                await send_parts(self.client.sock, [b"MOVE\r\n"])
+                if not self.moved and not self.torn:
+                    self.moved = True
+                    await send_parts(self.client.sock, [b"MOVE\r\n"])
         except OSError:
             self.front.counts["move_unwritten"] += 1
 
+    def last_word(self) -> None:
+        """The program ends: the final answer or the MOVE that is still owed, if it can be sent at once."""
+        if self.torn or self.moved or (self.answered and not self.up.done()):
+            return
+        if self.answered:
+            self.moved, word = True, b"MOVE\r\n"
+        else:
+            self.answered, word = True, b"ERR\r\n" if self.sent else self.busy
+        self.front.counts["last_words"] += 1
+        with contextlib.suppress(OSError):
+            self.client.sock.send(word)
+
     async def from_client(self) -> None:
         """Pass the client's lines on once its server is there; sees the client leave at any time."""
         client = self.client
@@ -292,7 +371,8 @@
             # before it looked would hold them back until the client says more.
             while client.whole() or await client.fill():
                 if client.whole():
-                    await self.up
+                    if not await self.until_up():
+                        break
                     try:
                         await self.pass_up()
                     except OSError as err:
@@ -305,6 +385,28 @@
         if self.ticket is not None and not self.up.done():
             self.ticket.left()
 
+    async def until_up(self) -> bool:
+        """Wait for the server with whole lines in the buffer; False if the client leaves before it is up.
+
+        Guards against a leave that stands unread behind those lines: the request would be sent on for nobody.
+        """
+        client = self.client
+        while not self.up.done():
+            if client.used == LINE_MOST:  # no more is read until these lines can go on
+                await asyncio.wait((self.up,), timeout=LEFT_LOOK)
+                if not self.up.done() and ended(client.sock):
+                    return False
+                continue
+            more = self.loop.create_task(readable(client.sock))
+            try:
+                await asyncio.wait((more, self.up), return_when=asyncio.FIRST_COMPLETED)
+            finally:
+                more.cancel()
+                await asyncio.gather(more, return_exceptions=True)
+            if not self.up.done() and not await client.fill():
+                return False
+        return True
+
     async def pass_up(self) -> None:
         """Send the client's whole lines to its server."""
         client, server = self.client, self.server
@@ -322,17 +424,28 @@
 
     async def from_server(self, ticket: Ticket) -> None:
         """Pass the server's lines on, those that came with UP first."""
-        server, client = self.server, self.client
+        server = self.server
         assert server is not None
         while True:
             if length := server.whole():
                 self.read_lines(ticket, server, length)
-                async with self.writing, asyncio.timeout(CLIENT_WRITE):
-                    await send_parts(client.sock, [server.view[:length]])
-                server.consume(length)
+                await self.pass_down(length)
             if not await server.fill():
+                if server.used:  # half a line before its end: no byte is kept back, and no word may follow
+                    await self.pass_down(server.used)
+                    self.torn = True
                 return
 
+    async def pass_down(self, length: int) -> None:
+        """Write so many bytes of the server's to the client."""
+        server = self.server
+        assert server is not None
+        async with self.writing, asyncio.timeout(CLIENT_WRITE):
+            self.torn = True
+            await send_parts(self.client.sock, [server.view[:length]])
+            self.torn = False
+        server.consume(length)
+
     def note(self, ticket: Ticket, value: float) -> None:
         """A LOAD line came: tell the core which of the two notes it is."""
         options = self.front.options
--- a/violetdoor/net/sockets.py
+++ b/violetdoor/net/sockets.py
@@ -4,12 +4,15 @@
 
 import asyncio
 import contextlib
+import select
 import socket
 import struct
 from collections.abc import Sequence
 
 LINE_MOST = 4096  # bytes of one line, its CRLF included
 BACKLOG = 1024
+ENDED = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+UNREAD, UNREAD_MOST = 16 * 1024, 64 * 1024  # bytes thrown away at a close: in one read, in all
 Address = tuple[str, int]
 Part = bytes | bytearray | memoryview
 
@@ -51,6 +54,13 @@
         loop.remove_reader(sock)
 
 
+def ended(sock: socket.socket) -> bool:
+    """Whether the other side has ended, in order or not, however many bytes stand unread before its end."""
+    look = select.poll()
+    look.register(sock, select.POLLRDHUP)  # POLLHUP and POLLERR are told in any case
+    return any(told & ENDED for _, told in look.poll(0))
+
+
 async def connect(address: Address, timeout: float) -> socket.socket:
     """Connect within the timeout or raise OSError (TimeoutError is one)."""
     family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
@@ -78,12 +88,19 @@
 
 
 def end(sock: socket.socket, reset: bool = False) -> None:
-    """Close a connection: in order, or with a reset where the other side's was one."""
+    """Close a connection: in order, or with a reset where the other side's was one.
+
+    In order, what stands unread is thrown away first: a close over it would reset the connection, and what
+    was just written could go with it.
+    """
     with contextlib.suppress(OSError):
         if reset:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         else:
             sock.shutdown(socket.SHUT_WR)
+            for _ in range(UNREAD_MOST // UNREAD):
+                if len(sock.recv(UNREAD, socket.MSG_DONTWAIT)) < UNREAD:
+                    break
     sock.close()
 
 
