Ends have their last word: what comes in the moment of a shutdown or close is answered

Cause: `leaving` was set in the front some rounds of the loop after the signal, and what was read between the two was sent on; a SIGTERM before the handlers stood ended the process by itself; `Acceptor.close` cancelled all sessions and closed at once, over unread bytes, so a client whose request was read or on its way saw a reset; clients in the accept queue were dropped; a reload during the leave moved the time of the kill that was on its way.

Held before: half a line at MOVE, a queue left to a process that takes clients, a cut answer by its class's effect.

Change: the front hears of the stop in the signal's own round; SIGTERM waits until the program hears it; a close reads away what stands unread, says a last word for each session (BUSY where nothing was sent on, ERR where a server had it, MOVE where it stands) and gives it 0.3 s; the queue of the socket is answered before it closes.

--- /dev/null
+++ b/tests/test_endings.py
@@ -0,0 +1,394 @@
+"""Closes and shutdowns in the moment in which something still arrives: each ends with the word that is owed."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import re
+import signal
+import socket
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+import uvloop
+from standins import PATIENCE, ROOT, Discovery, GateServer, Reader, Writer, run, until
+from test_clients_leave import Holding, around, leave
+from test_line import SETTINGS, first_line, line, opened, settled
+
+from violetdoor.net.acceptor import Acceptor
+from violetdoor.net.counters import Counters
+
+FULL = b"BUSY 300\r\n"
+LONG = b"c=checkin,t=acme,d=9000"
+SLOW: dict[str, Any] = {"classes": [SETTINGS["classes"][0] | {"hardLimit": 9000.0}]}
+
+
+async def all_of(reader: Reader) -> bytes:
+    """Everything up to an end in order; a reset is an error."""
+    async with asyncio.timeout(PATIENCE):
+        return await reader.read(-1)
+
+
+# SIGTERM.
+
+
+@pytest.mark.parametrize("said", [b"", b"PING\r\n", b"OPEN 9b1f"])
+def test_a_resting_client_is_told_to_come_again_and_what_it_sends_then_goes_nowhere(
+    tmp_path: Path, said: bytes
+) -> None:
+    """Guards against a request that is written as the relay shuts down: unanswered, or sent on behind the shutdown."""
+
+    async def test() -> None:
+        server = GateServer()
+        async with around(tmp_path, server) as (it, _):
+            reader, writer = await it.open()
+            writer.write(said)
+            if said.startswith(b"PING"):
+                assert await line(reader) == b"PONG\r\n"
+            await until(lambda: it.address)
+            while not await settled(it, "accepted"):
+                await asyncio.sleep(0.01)
+            it.process.terminate()
+            assert re.fullmatch(rb"(BUSY \d+|ERR)\r\n", await line(reader))
+            writer.write(first_line(LONG))  # the relay has shut down by now
+            assert await all_of(reader) == b""
+            assert await it.process.wait() == 0
+            assert not server.opened
+
+    run(test)
+
+
+def test_a_request_that_waits_when_the_program_ends_has_its_answer(tmp_path: Path) -> None:
+    """A kill comes 3.7 s after SIGTERM at the latest, whatever the longest deadline is."""
+
+    async def test() -> None:
+        held = Holding(b"UP r1\r\n")
+        async with around(tmp_path, held, **SLOW) as (it, _):
+            sent, _ = await opened(it, LONG)
+            await until(lambda: held.opened)
+            began = asyncio.get_running_loop().time()
+            it.process.terminate()
+            assert await all_of(sent) == b"ERR\r\n"  # its server may have run it
+            assert await it.process.wait() == 0
+            assert asyncio.get_running_loop().time() - began < 3.7
+
+    run(test)
+
+
+def test_a_request_that_never_was_sent_on_may_come_again_when_the_program_ends(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with around(tmp_path, GateServer(), empty=True, **SLOW) as (it, discovery):
+            reader, _ = await opened(it, LONG)
+            await until(lambda: discovery.calls)
+            it.process.terminate()
+            assert re.fullmatch(rb"BUSY \d+\r\n", await all_of(reader))
+
+    run(test)
+
+
+def test_shorter_deadlines_that_come_while_it_leaves_cut_nobody_off(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with around(tmp_path, GateServer()) as (it, _):
+            clients = [await opened(it) for _ in range(20)]
+            assert all([await line(reader) == b"UP r1\r\n" for reader, _ in clients])
+            it.process.terminate()
+            await until(lambda: it.logged("serving -> leaving"))
+            path = tmp_path / "config.json"
+            held = json.loads(path.read_text())
+            held["settings"]["classes"][0] |= {"goalTime": 10.0, "hardLimit": 20.0}
+            path.write_text(json.dumps(held))
+            it.process.send_signal(signal.SIGHUP)
+            await until(lambda: it.logged("reloaded"))
+            assert await asyncio.gather(*(all_of(reader) for reader, _ in clients)) == [b"MOVE\r\n"] * 20
+            it.process.terminate()  # a second one changes nothing
+
+    run(test)
+
+
+def test_a_stop_while_the_program_starts_is_heard(tmp_path: Path) -> None:
+    """The start is held where it asks for a predecessor that never answers."""
+
+    async def test() -> None:
+        asked = asyncio.Event()
+
+        async def never(reader: Reader, writer: Writer) -> None:
+            asked.set()
+            await reader.read(-1)
+            writer.close()
+
+        async with Discovery() as discovery, await asyncio.start_unix_server(
+            never, tmp_path / "violetdoor-127.0.0.1:0.sock"
+        ):
+            path = tmp_path / "config.json"
+            path.write_text(json.dumps({
+                "name": "n1", "listen": "127.0.0.1:0", "discovery": discovery.address, "seed": "8c1f30d27a5be964",
+                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": {}, "settings": SETTINGS,
+            }))  # fmt: skip
+
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "violetdoor", cwd=ROOT,
+                env=os.environ | {"BALANCER_CONFIG": str(path), "TMPDIR": str(tmp_path)},
+                stderr=asyncio.subprocess.PIPE,
+            )  # fmt: skip
+            async with asyncio.timeout(PATIENCE):
+                await asked.wait()
+                process.terminate()
+                _, said = await process.communicate()
+            assert process.returncode == 0 and b"leaving -> stopped" in said, said
+
+    run(test)
+
+
+# Ends of connections to servers.
+
+
+def test_an_attempt_that_is_given_up_ends_by_a_reset(tmp_path: Path) -> None:
+    """Guards against a line that the system still holds and delivers when a silent server is back."""
+
+    async def test() -> None:
+        ends: list[str] = []
+
+        class Silent(GateServer):
+            async def serve(self, reader: Reader, writer: Writer) -> None:
+                self.opened.append(await reader.readline())
+                try:
+                    await reader.read(-1)
+                    ends.append("in order")
+                except ConnectionResetError:
+                    ends.append("reset")
+
+        one = Silent()
+        async with around(tmp_path, one) as (it, _):
+            reader, _ = await opened(it, b"c=checkin,t=acme,d=300")  # timed out
+            await all_of(reader)
+            await until(lambda: ends)
+            _, writer = await opened(it, LONG)  # its client leaves
+            await until(lambda: len(one.opened) == 1 + len(ends))
+            writer.close()
+            await until(lambda: len(ends) == len(one.opened))
+            assert set(ends) == {"reset"}
+
+    run(test)
+
+
+def test_a_clients_reset_is_passed_on(tmp_path: Path) -> None:
+    async def test() -> None:
+        ends: list[str] = []
+
+        class Server(GateServer):
+            async def serve(self, reader: Reader, writer: Writer) -> None:
+                await reader.readline()
+                writer.write(b"UP r1\r\n")
+                try:
+                    await reader.read(-1)
+                    ends.append("end")
+                except ConnectionResetError:
+                    ends.append("reset")
+
+        async with around(tmp_path, Server()) as (it, _):
+            for how in ("end", "reset"):
+                reader, writer = await opened(it)
+                assert await line(reader) == b"UP r1\r\n"
+                leave(writer, how)
+                await until(lambda how=how: how in ends)  # type: ignore[misc]
+        assert ends == ["end", "reset"]
+
+    run(test)
+
+
+@pytest.mark.parametrize(
+    ("answer", "outcome"),
+    [(b"UP r1\r\n", "ok"), (b"UP\r\n", "error"), (b"UP \r\n", "error"), (b"UPr1\r\n", "error"), (b"UP r1\n", "error"),
+     (b"UP \xff\r\n", "error"), (b"BUSY\r\n", "full"), (b"BUSY util=0.4,x0=1\r\n", "full"), (b"BUSY\n", "error"),
+     (b"BUSYBUSY\r\n", "error"), (b"busy\r\n", "error"), (b"BUSY \x00\r\n", "error")],
+)  # fmt: skip
+def test_a_spoilt_answer_is_an_error_that_may_have_run(tmp_path: Path, answer: bytes, outcome: str) -> None:
+    async def test() -> None:
+        limits = SETTINGS["policyLimits"] | {"sendCap": 1}
+        async with around(tmp_path, GateServer(first=answer), policyLimits=limits) as (it, _):
+            reader, _ = await opened(it)
+            said = await line(reader)
+            assert said == answer if outcome == "ok" else said.startswith(b"BUSY ")
+            assert await settled(it, f"attempt_{outcome}") == 1
+
+    run(test)
+
+
+@pytest.mark.parametrize("effect", ["at_most_once", "deduplicated", "idempotent"])
+@pytest.mark.parametrize("answer", [b"UP", b"ERR\r\n", b"x" * 5000, b"", b"UP\r\n", b"BUSY", b"BUSY\r\n"])
+def test_what_may_have_run_is_sent_again_only_where_its_class_allows_it(
+    tmp_path: Path, effect: str, answer: bytes
+) -> None:
+    """The window for repeats is over at once: only a class that may be repeated at will has a second attempt."""
+
+    async def test() -> None:
+        class Ending(GateServer):
+            async def serve(self, reader: Reader, writer: Writer) -> None:
+                if said := await reader.readline():
+                    self.opened.append(said)
+                writer.write(self.first)
+                await writer.drain()
+
+        one, two = Ending(answer), Ending(answer)
+        cls = SETTINGS["classes"][0] | {"effect": effect, "dedupScope": "all", "window": 100.0}
+        async with around(tmp_path, one, two, classes=[cls]) as (it, _):
+            reader, _ = await opened(it)
+            said = await line(reader)
+            never = answer == b"BUSY\r\n"  # the only word that nothing ran
+            again = never or effect == "idempotent"
+            assert len(one.opened) + len(two.opened) == (2 if again else 1)
+            refused = effect != "at_most_once" or never
+            assert said.startswith(b"BUSY ") if refused else said == b"ERR\r\n"
+
+    run(test)
+
+
+@pytest.mark.parametrize("half", [b"", b"re M"])
+def test_half_a_line_before_a_servers_end_is_passed_on_and_nothing_behind_it(tmp_path: Path, half: bytes) -> None:
+    async def test() -> None:
+        class Cut(GateServer):
+            async def serve(self, reader: Reader, writer: Writer) -> None:
+                await reader.readline()
+                writer.write(b"UP r1\r\nre M 1\r\n" + half)
+
+        async with around(tmp_path, Cut()) as (it, _):
+            reader, _ = await opened(it)
+            assert await all_of(reader) == b"UP r1\r\nre M 1\r\n" + half
+
+    run(test)
+
+
+def test_half_a_line_of_a_server_is_kept_back_when_its_client_is_moved(tmp_path: Path) -> None:
+    async def test() -> None:
+        class Half(GateServer):
+            async def serve(self, reader: Reader, writer: Writer) -> None:
+                await reader.readline()
+                writer.write(b"UP r1\r\nre M 1\r\nre M")
+                await reader.read(-1)
+
+        async with around(tmp_path, Half()) as (it, _):
+            reader, _ = await opened(it)
+            assert [await line(reader) for _ in range(2)] == [b"UP r1\r\n", b"re M 1\r\n"]
+            it.process.terminate()
+            assert await all_of(reader) == b"MOVE\r\n"
+
+    run(test)
+
+
+def test_a_server_that_says_a_line_without_end_loses_its_client_to_another(tmp_path: Path) -> None:
+    async def test() -> None:
+        server = GateServer(first=b"UP r1\r\nre M 1\r\n" + b"x" * 9000)
+        async with around(tmp_path, server) as (it, _):
+            reader, _ = await opened(it)
+            assert await all_of(reader) == b"UP r1\r\nre M 1\r\nMOVE\r\n"
+            assert await settled(it, "ended_error") == 1 and not await settled(it, "line_too_long")
+
+    run(test)
+
+
+# Closes of a front, in one process: the bytes are there, unread, when the close comes.
+
+
+async def client_of(acceptor: Acceptor, said: bytes) -> tuple[Reader, Writer]:
+    reader, writer = await asyncio.open_connection(*acceptor.address)
+    writer.write(said)
+    await writer.drain()
+    return reader, writer
+
+
+def acceptor_for(serve: Any, sockets: int = 1024) -> Acceptor:
+    return Acceptor(("127.0.0.1", 0), serve, Counters(), sockets, FULL)
+
+
+def test_a_client_in_the_queue_when_the_socket_closes_has_an_answer() -> None:
+    async def test() -> None:
+        async def serve(sock: socket.socket) -> bool:
+            raise AssertionError("nobody is served")
+
+        acceptor = acceptor_for(serve)
+        reader, _ = await client_of(acceptor, first_line(LONG))
+        await acceptor.close()
+        assert await all_of(reader) == FULL
+        with pytest.raises(ConnectionRefusedError):
+            await asyncio.open_connection(*acceptor.address)
+
+    uvloop.run(test())
+
+
+def test_the_queue_is_left_to_another_process_that_takes_clients() -> None:
+    async def test() -> None:
+        async def serve(sock: socket.socket) -> bool:
+            raise AssertionError("nobody is served")
+
+        acceptor = acceptor_for(serve)
+        other = socket.socket(fileno=os.dup(acceptor.sock.fileno()))
+        acceptor.take(False)
+        _, writer = await client_of(acceptor, b"OPEN")
+        await acceptor.close()
+        sock, _ = await asyncio.get_running_loop().sock_accept(other)
+        assert await asyncio.get_running_loop().sock_recv(sock, 10) == b"OPEN"
+        for one in (sock, other, writer):
+            one.close()
+
+    uvloop.run(test())
+
+
+@pytest.mark.parametrize("ends", ["close", "evict"])
+def test_an_end_over_unread_bytes_is_no_reset(ends: str) -> None:
+    """More than a buffer's worth stands unread; the client still reads its last line and an end in order."""
+
+    async def test() -> None:
+        began = asyncio.Event()
+
+        async def serve(sock: socket.socket) -> bool:
+            began.set()
+            try:
+                await asyncio.sleep(PATIENCE)
+            except asyncio.CancelledError:
+                if acceptor.closing:
+                    sock.send(FULL)
+                raise
+            return False
+
+        acceptor = acceptor_for(serve)
+        running = asyncio.get_running_loop().create_task(acceptor.run())
+        reader, _ = await client_of(acceptor, b"x" * 30_000)
+        await began.wait()
+        if ends == "evict":
+            other = asyncio.current_task()
+            assert other is not None and acceptor._evict(besides=other)
+            assert await all_of(reader) == FULL
+        closing = asyncio.get_running_loop().create_task(acceptor.close())
+        if ends == "close":
+            assert await all_of(reader) == FULL
+        await closing
+        await asyncio.gather(running, return_exceptions=True)
+
+    uvloop.run(test())
+
+
+def test_one_that_was_told_all_is_told_nothing_more_when_another_needs_its_place() -> None:
+    async def test() -> None:
+        async def serve(sock: socket.socket) -> bool:
+            sock.send(b"ERR\r\n")
+            return False
+
+        acceptor = acceptor_for(serve)
+        running = asyncio.get_running_loop().create_task(acceptor.run())
+        reader, _ = await client_of(acceptor, b"x")
+        assert await line(reader) == b"ERR\r\n"
+        await until(lambda: acceptor.parting)
+        other = asyncio.current_task()
+        assert other is not None and acceptor._evict(besides=other)
+        assert await all_of(reader) == b""
+        running.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await running
+        await acceptor.close()
+
+    uvloop.run(test())
+
--- a/violetdoor/fronts/line/front.py
+++ b/violetdoor/fronts/line/front.py
@@ -17,7 +17,7 @@
 from violetdoor.fronts.line.options import LineOptions
 from violetdoor.fronts.line.reports import load_report
 from violetdoor.fronts.line.session import Session
-from violetdoor.net.acceptor import Acceptor
+from violetdoor.net.acceptor import LINGER, Acceptor
 from violetdoor.net.counters import Counters
 from violetdoor.net.discovery import Directory
 from violetdoor.net.figures import Figures
@@ -70,6 +70,7 @@
         self.reconfigure(options)
         self.leaving = False
         self.returns: deque[float] = deque(maxlen=RETURNS_MOST)  # when clients came that were moved or broke
+        self.sessions: set[Session] = set()
         self.standing: set[Session] = set()
         core.prober = self.probe
 
@@ -146,8 +147,13 @@
         """Serve one client; whether its connection is to end with a reset."""
         client = LineSocket(sock)
         session = Session(self, client)
+        self.sessions.add(session)
         try:
             await session.run()
+        except asyncio.CancelledError:
+            if self.acceptor.closing:
+                session.last_word()
+            raise
         except LineTooLongError:
             self.counts["line_too_long"] += 1
             log.info("a client's line is too long")
@@ -157,6 +163,8 @@
         except Exception:
             await session.answer_fault()
             raise
+        finally:
+            self.sessions.discard(session)
         return client.reset
 
     async def probe(self, server: str) -> i.Probed:
@@ -206,13 +214,12 @@
         while len(self.seen) > SEEN_MOST:
             self.seen.popitem(last=False)
 
-    async def leave_to_successor(self, began: float) -> None:
+    async def leave_to_successor(self, until: float, within: float) -> None:
         """Move all clients evenly from now on: where they come again, another process takes them at once."""
         loop = asyncio.get_running_loop()
-        until = began + self.leave_within
         while self.succeeded and self.acceptor.tasks and loop.time() < until:
             waiting = [s.ticket for s in self.standing if s.ticket and not s.ticket.move.done()]
-            for ticket in due(waiting, until - self.leave_within * (1 - MOVED_BY) - loop.time(), STEP):
+            for ticket in due(waiting, until - within * (1 - MOVED_BY) - loop.time(), STEP):
                 ticket.move.set_result(None)
             await asyncio.sleep(STEP)
 
@@ -220,15 +227,16 @@
         """Answer what still arrives, let requests end, move all standing clients one after another."""
         self.leaving = True
         loop = asyncio.get_running_loop()
-        began = loop.time()
+        began, within = loop.time(), self.leave_within  # new settings don't move a kill that is on its way
+        until = began + within - LINGER  # from then on there are only last words
         if self.succeeded:
-            await self.leave_to_successor(began)
-        here, last = len(self.standing), began + self.leave_within * MOVED_BY
+            await self.leave_to_successor(until, within)
+        here, last = len(self.standing), min(began + within * MOVED_BY, until - STEP)
         coming = 0.0 if self.succeeded else STILL_COMING
-        while loop.time() < began + (self.leave_within if self.acceptor.tasks else coming):
+        while loop.time() < (until if self.acceptor.tasks else min(until, began + coming)):
             lately = sum(at > began - RETURN_WINDOW for at in self.returns)
             alone = self.core.settings.nodes == 1 or lately > here * RETURN_PART
-            if loop.time() >= began + self.leave_within * (MOVE_FROM_ALONE if alone else MOVE_FROM):
+            if loop.time() >= began + within * (MOVE_FROM_ALONE if alone else MOVE_FROM):
                 tickets = [s.ticket for s in self.standing if s.ticket and not s.ticket.move.done()]
                 for ticket in due(tickets, last - loop.time(), STEP):
                     ticket.move.set_result(None)
--- a/violetdoor/fronts/nats/service.py
+++ b/violetdoor/fronts/nats/service.py
@@ -25,6 +25,9 @@
     async def serve(self) -> None:
         await self.front.run()
 
+    def stopping(self) -> None:
+        self.front.leaving = True
+
     async def leave(self) -> None:
         await self.front.leave()
 
--- a/violetdoor/net/acceptor.py
+++ b/violetdoor/net/acceptor.py
@@ -19,7 +19,7 @@
 LINGER, LINGER_MOST = 0.3, 1 << 17  # s, and bytes thrown away, that a client has to read its last line
 PATIENCE = 0.25  # s that a client may wait in any case while there are descriptors
 WAITING_PART = 3  # at most one in so many descriptors is held by clients that were not admitted
-REFUSED_MOST = 32  # that were told to come later and are not closed yet
+ENDING_MOST = 32  # that were told to come later and are not closed yet
 RESERVED = 64  # descriptors kept for discovery, probes, the log, the console and answers over the limit
 
 
@@ -57,19 +57,22 @@
         self.waiting: dict[asyncio.Task[None], float] = {}
         self.admitted: set[asyncio.Task[None]] = set()
         self.evicted: set[asyncio.Task[None]] = set()
+        self.parting: set[asyncio.Task[None]] = set()  # said all, and give their client time to read it
+        self.closing = False  # what is cancelled now says a last word
+        self._runner: asyncio.Task[None] | None = None
         self.accepting = False  # clients that come now are taken in
         self.beside = 0  # descriptors that another process of this relay holds
         self.beside_memory = 0  # and its bytes
         # What a client is told that is not even read from, by its address; None for one that is.
         self.refuse: Callable[[str], bytes | None] | None = None
-        self.refused: deque[tuple[float, socket.socket]] = deque()  # told so, and still to be closed
+        self.ending: deque[tuple[float, socket.socket]] = deque()  # told all, and still to be closed
         self.taking = asyncio.Event()  # cleared while another process takes this relay's clients
         self.taking.set()
 
     async def run(self) -> None:
         """Take in clients for ever."""
         loop = asyncio.get_running_loop()
-        self.accepting = self.taking.is_set()
+        self.accepting, self._runner = self.taking.is_set(), asyncio.current_task()
         while True:
             try:
                 sock = await self._next()
@@ -107,25 +110,33 @@
         assert self.refuse is not None
         try:
             line = self.refuse("{}:{}".format(*sock.getpeername()[:2]))
-            if line is None:
-                return False
-            self.counts["refused_at_accept"] += 1
+        except OSError:
+            sock.close()
+            return True
+        if line is None:
+            return False
+        self.counts["refused_at_accept"] += 1
+        self._end_with(sock, line)
+        return True
+
+    def _end_with(self, sock: socket.socket, line: bytes) -> None:
+        """Say a last line and end the sending side; what the client says until the close is thrown away."""
+        try:
             sock.setblocking(False)
             sock.send(line)
             sock.shutdown(socket.SHUT_WR)
         except OSError:
             sock.close()
-            return True
-        self.refused.append((time.monotonic(), sock))
-        asyncio.get_running_loop().call_later(LINGER, self._close_refused)
-        self._close_refused()
-        return True
+            return
+        self.ending.append((time.monotonic(), sock))
+        asyncio.get_running_loop().call_later(LINGER, self._close_ended)
+        self._close_ended()
 
-    def _close_refused(self) -> None:
+    def _close_ended(self) -> None:
         """Close those that had their time, or that are too many."""
         now = time.monotonic()
-        while self.refused and (now - self.refused[0][0] >= LINGER or len(self.refused) > REFUSED_MOST):
-            self.refused.popleft()[1].close()
+        while self.ending and (now - self.ending[0][0] >= LINGER or len(self.ending) > ENDING_MOST):
+            end(self.ending.popleft()[1])
 
     async def _next(self) -> socket.socket:
         """Accept the next client, in one step once it waits: a wait that is broken off loses nobody."""
@@ -177,10 +188,13 @@
         self.waiting.pop(task, None)
         self.admitted.discard(task)
         self.evicted.discard(task)
+        self.parting.discard(task)
 
     async def _connection(self, sock: socket.socket) -> None:
         """One client, whatever happens to it: its fault stays its own."""
-        reset = False
+        reset, ours = False, True
+        task = asyncio.current_task()
+        assert task is not None
         try:
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -188,10 +202,17 @@
             if not reset:
                 await self._part(sock)
         except asyncio.CancelledError:
-            if asyncio.current_task() not in self.evicted:
+            if task in self.parting:
+                if task not in self.evicted:
+                    raise
+            elif task in self.evicted:
+                ours = False
+                self._end_with(sock, self.over_limit)
+            elif self.closing:  # its session has said a last word
+                task.uncancel()
+                await self._part(sock)
+            else:
                 raise
-            with contextlib.suppress(OSError):
-                sock.send(self.over_limit)
         except OSError as err:
             self.counts["client_broke"] += 1
             log.info("a client's connection broke: %s %s", type(err).__name__, err)
@@ -200,22 +221,45 @@
             log.exception("a session failed")
             await self._part(sock)
         finally:
-            end(sock, reset)
+            if ours:
+                end(sock, reset)
 
     async def _part(self, sock: socket.socket) -> None:
         """See a client off: it holds one descriptor now, and goes first when another needs that."""
         task = asyncio.current_task()
+        assert task is not None
+        self.parting.add(task)
         if task in self.tasks and task not in self.evicted:
             self.admitted.discard(task)
             self.waiting[task] = asyncio.get_running_loop().time()
         await linger(sock)
 
     async def close(self) -> None:
-        """Stop listening, end what is still served."""
-        self.accepting = False
+        """Stop listening, end what is still served within LINGER.
+
+        Each client has a last word: its session's, or in the socket's queue the one of a full house. Guards
+        against a request written in this moment, whose client would only see a reset.
+        """
+        self.accepting, self.closing = False, True
+        if self._runner is not None:  # the loop must not take one in behind this
+            self._runner.cancel()
+            await asyncio.gather(self._runner, return_exceptions=True)
+        while self.taking.is_set():  # else they are another process's
+            try:
+                sock = self.sock.accept()[0]
+            except OSError:
+                break
+            self.counts["accepted"] += 1
+            self._end_with(sock, self.over_limit)
         self.sock.close()
-        while self.refused:
-            self.refused.popleft()[1].close()
+        for task in self.tasks - self.parting:
+            task.cancel()
+        if self.tasks:
+            await asyncio.wait(self.tasks, timeout=LINGER)
+        elif self.ending:
+            await asyncio.sleep(LINGER)
+        while self.ending:
+            end(self.ending.popleft()[1])
         for task in list(self.tasks):
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
--- a/violetdoor/program.py
+++ b/violetdoor/program.py
@@ -37,6 +37,8 @@
 BEFORE_CLIENTS = ("rules", "overload", "fleet")
 AFTER_CLIENTS = ("console",)
 
+HELD_SIGNALS = {signal.SIGHUP, signal.SIGTERM}  # wait until the program is there to hear them
+
 _OFFSET = (time.time() - time.monotonic()) * 1000
 
 
@@ -210,18 +212,23 @@
             if getattr(self.config, name) is not None:
                 yield importlib.import_module(f"violetdoor.{name}.service").service(self)
 
+    def _stop(self) -> None:
+        """End: the front hears of it in the moment of the signal, not some rounds of the loop later."""
+        self.stop.set()
+        self.front.stopping()
+
     async def run(self) -> None:
         """Start, serve until SIGTERM, leave, stop."""
         config, loop = self.config, asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self.stop.set)
+            loop.add_signal_handler(number, self._stop)
         loop.add_signal_handler(signal.SIGUSR1, self.report)
         self.core = Controller(config.settings, config.seed, unix_clock, config.tells_delay)
         for one in self._parts():
             self.services.append(one)
             self.figures.gauges.update(one.gauges())
         loop.add_signal_handler(signal.SIGHUP, self.reload)
-        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, HELD_SIGNALS)
         front = self.services.index(self.front)
         for one in self.services[: front + 1]:
             await one.start()
--- a/violetdoor/services.py
+++ b/violetdoor/services.py
@@ -93,6 +93,10 @@
         """Take clients until this is cancelled."""
         raise NotImplementedError
 
+    def stopping(self) -> None:
+        """The program ends: `leave` is called next, and nothing that is read from now on is begun."""
+        raise NotImplementedError
+
     async def leave(self) -> None:
         """Let requests end, send clients away, take no more."""
         raise NotImplementedError
