A repeat whose connection comes up behind its class's window is never written

Cause: the module looked at the window when it chose the server (120 ms kept back), but the first byte goes out only when the connection is up, up to the connect time-out later; nothing looked again. With connections that come up late a keyed request was sent to a server that no longer drops its repeat.

Checked: a server that answers ERR, another whose connection comes up after 3 s, a window of 2 s: the code before wrote the whole line there. Ruled out: the start of the window (it runs from the decision, before the first byte).

Change: `Send.begin_by` carries the end of the window; `Controller.may_begin` looks at it and at the list just before the first byte, on both fronts (`drain_kept` is `begun_too_late` now).

--- a/lynxdeck/interface.py
+++ b/lynxdeck/interface.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum
@@ -39,6 +40,11 @@
         """True where a server that is not in it is gone."""
         return self in (ListKind.COMPLETE, ListKind.REMEMBERED)
 
+    @property
+    def stale(self) -> bool:
+        """True where discovery has told nothing new."""
+        return self in (ListKind.REFUSED, ListKind.REMEMBERED)
+
 
 class ServerState(Enum):
     """What the list says of a server."""
@@ -280,11 +286,12 @@
 
 @dataclass(slots=True, frozen=True)
 class Send:
-    """Start an attempt; it is given up at `give_up`."""
+    """Start an attempt; it is given up at `give_up`, and its first byte goes by `begin_by` or not at all."""
 
     request: int
     server: str
     give_up: float
+    begin_by: float = math.inf
 
 
 @dataclass(slots=True, frozen=True)
--- a/lynxdeck/policy.py
+++ b/lynxdeck/policy.py
@@ -112,9 +112,8 @@
             self.stage_over(request)
 
     def list_changed(self, event: i.ServerList) -> None:
-        ask = self.settings.ask_list and event.kind in (i.ListKind.REFUSED, i.ListKind.REMEMBERED)
-        self.list_calls = self.list_calls + 1 if ask else 0
-        if ask:  # all nodes ask one service together: spread the calls by its rate, back off, stay in time
+        self.list_calls = (self.list_calls + 1) * (self.settings.ask_list and event.kind.stale)
+        if self.list_calls:  # all ask one service: spread the calls by its rate, back off, stay in time
             most, spread = self.settings.ask_within / 2, CALL * self.settings.nodes
             wait = min(max(most / 2, min(most, spread)), max(500.0, spread) * 2**self.list_calls)
             self.out.append(i.SetTimer("list", self.now + wait * self.random.random()))
@@ -330,8 +329,8 @@
 
     def may_repeat(self, request: Request, server: Server) -> bool:
         """Whether the server drops the repeat of a keyed request that may have run."""
-        (first, at), cls = request.ran or (server, 0.0), request.cls
-        known = cls.effect is i.Effect.KEYED and self.now + 2 * PROBE_WAIT <= at + cls.window
+        (first, until), cls = request.ran or (server, 0.0), request.cls
+        known = cls.effect is i.Effect.KEYED and self.now + 2 * PROBE_WAIT <= until
         mine, its = server.entry, first.entry
         same = {i.Scope.ALL: True, i.Scope.ZONE: mine.zone == its.zone, i.Scope.CELL: mine.cell == its.cell}
         return known and server.ready and same[cls.scope]
@@ -422,14 +421,15 @@
             self.drop(request)
 
     def send(self, request: Request, server: Server) -> None:
-        left = request.deadline - self.margin / 2 - self.now
         last = request.attempts + 1 >= self.settings.max_attempts or self.late >= LATE
+        left = (request.deadline - self.margin / 2 - self.now) / (1 if last else 2)
         request.attempts, request.server = request.attempts + 1, server
         request.tried.append(server)
         server.open[request.id] = request
         server.load = None if server.load is None else self.projected(server, request.load)
         self.sent += request.load
-        self.out.append(i.Send(request.id, server.name, self.now + max(1.0, left if last else left / 2)))
+        begin_by = request.ran[1] if request.ran and request.cls.effect is i.Effect.KEYED else math.inf
+        self.out.append(i.Send(request.id, server.name, self.now + max(1.0, left), begin_by))
 
     def ended(self, event: i.Outcome) -> None:
         request = self.requests.get(event.request)
@@ -444,7 +444,7 @@
         if event.report:
             self.report(server, event.report)
         if not event.result.never_ran and request.ran is None:
-            request.ran = (server, self.now - event.latency)
+            request.ran = (server, self.now - event.latency + request.cls.window)
         again = request.attempts < self.settings.max_attempts and self.now < request.deadline - self.margin
         again = again and (request.ran is None or request.cls.effect is not i.Effect.UNSAFE)
         if event.final:
--- a/lynxdeck/records.py
+++ b/lynxdeck/records.py
@@ -80,6 +80,6 @@
     server: Server | None = None  # where an attempt is out
     turns: list[Server] = field(default_factory=list)  # servers looked at now
     tried: list[Server] = field(default_factory=list)
-    ran: tuple[Server, float] | None = None  # first attempt that may have run, and when it was sent
+    ran: tuple[Server, float] | None = None  # first attempt that may have run, and the end of its window
     admitted: bool = False
     paced: bool = False
--- a/tests/test_clients_leave.py
+++ b/tests/test_clients_leave.py
@@ -303,7 +303,7 @@
 
         session = Watched(around, LineSocket(ours))  # type: ignore[arg-type]
         session.gone.set_result(None)
-        assert await session.attempt(None, "s0", 0.0) is i.Result.CANCELLED  # type: ignore[arg-type]
+        assert await session.attempt(None, i.Send(1, "s0", 0.0)) is i.Result.CANCELLED  # type: ignore[arg-type]
 
     uvloop.run(test())
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -16,7 +16,7 @@
 import pytest
 import uvloop
 from standins import PATIENCE, ROOT, Discovery, GateServer, Reader, Writer, run, until
-from test_clients_leave import Holding, around, leave
+from test_clients_leave import PATIENT, Holding, Late, around, leave
 from test_line import SETTINGS, first_line, line, opened, settled
 
 from violetdoor.net.acceptor import Acceptor
@@ -247,6 +247,31 @@
     run(test)
 
 
+def test_a_repeat_whose_connection_comes_up_behind_its_window_carries_no_byte(tmp_path: Path) -> None:
+    """Its first server may have run it; the other one drops a repeat for 2 s, and its connection is up after 3."""
+
+    async def test() -> None:
+        first, late = Holding(b"ERR\r\n"), Late()
+        cls = SLOW["classes"][0] | {"effect": "deduplicated", "dedupScope": "all", "window": 2000.0}
+        async with late, around(tmp_path, first, classes=[cls], policyLimits=PATIENT) as (it, discovery):
+            reader, _ = await opened(it, LONG)
+            await until(lambda: first.opened)
+            discovery.tell(first, "draining")
+            discovery.tell(late, "up")
+            while await settled(it, "discovery_changes") < 2:  # both at once
+                await asyncio.sleep(0.01)
+            first.answering.set()
+            while not await settled(it, "attempt_error"):
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(2)  # the window is over
+            await late.come_up(4)
+            assert not any(late.said)
+            assert await settled(it, "begun_too_late") == 1
+            assert re.fullmatch(rb"BUSY \d+\r\n", await all_of(reader))
+
+    run(test)
+
+
 @pytest.mark.parametrize("half", [b"", b"re M"])
 def test_half_a_line_before_a_servers_end_is_passed_on_and_nothing_behind_it(tmp_path: Path, half: bytes) -> None:
     async def test() -> None:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -219,6 +219,7 @@
     node.end(1, i.Result.RESET)
     first, second = node.sent(1)
     assert int(first[1]) % 3 == int(second[1]) % 3
+    assert [a.begin_by for a in node.got(i.Send)] == [math.inf, 9.0 + KEYED.window]
     node.run_to(700.0)
     node.end(1, i.Result.RESET)
     node.run_to(2500.0)
--- a/violetdoor/core/controller.py
+++ b/violetdoor/core/controller.py
@@ -259,10 +259,17 @@
         self.loop.call_later(EMPTY_STEP / 1000, self._empty, server, until)
 
     def may_send(self, server: str) -> bool:
-        """Whether new work may go there now; ask again just before the first byte."""
+        """Whether new work may go there now."""
         entry = self.entries.get(server)
         return server not in self.bans and entry is not None and entry.state is i.ServerState.READY
 
+    def may_begin(self, choice: i.Send) -> bool:
+        """Whether an attempt may still begin; ask just before the first byte, a connection can come up late.
+
+        Guards against a send to a server that drains by now, and against a repeat behind its class's window.
+        """
+        return self.may_send(choice.server) and self.now() <= choice.begin_by
+
     def drains(self, server: str, told: bool = False) -> None:
         """A server said itself that it drains: as if the list had told, until the list or time says more.
 
--- a/violetdoor/fronts/line/session.py
+++ b/violetdoor/fronts/line/session.py
@@ -51,7 +51,7 @@
         self.up: asyncio.Future[None] = self.loop.create_future()  # its server is there
         self.writing = asyncio.Lock()  # held while lines go to the client: MOVE comes between them
         self.answered = False  # the one final answer is given
-        self.sent = False  # a server had its first line
+        self.sent = False  # a server may have its whole first line
         self.moved = False  # its MOVE is given: nothing follows
         self.torn = False  # a write to the client was broken off: what follows may not start a line
         self.cls = ""  # once the first line has told it
@@ -178,7 +178,7 @@
                     await self.answer("failed", b"ERR\r\n")
                     return
                 case i.Send():
-                    result = await self.attempt(opening, choice.server, choice.give_up)
+                    result = await self.attempt(opening, choice)
                     if self.gone.done() or result is i.Result.CANCELLED:
                         ticket.left()  # also in the very moment in which its server took it
                         result = i.Result.CANCELLED if result is i.Result.OK else result
@@ -192,7 +192,7 @@
         """Bring up a connection that was open at a known server before this program ran."""
         until = self.core.now() + ADOPT_TIME * 1000
         while not self.gone.done() and self.core.now() < until:
-            result = await self.attempt(opening, opening.at, until, named=True)
+            result = await self.attempt(opening, i.Send(0, opening.at, until), named=True)
             if result is i.Result.OK:
                 self.front.counts["adopted"] += 1
                 ticket = self.ticket = self.core.adopt(
@@ -219,11 +219,11 @@
         elif self.up.done():
             await self.move()
 
-    async def attempt(self, opening: Opening, server: str, give_up: float, named: bool = False) -> i.Result:
+    async def attempt(self, opening: Opening, choice: i.Send, named: bool = False) -> i.Result:
         """Try one server; its connection is kept when it is up, else closed. A client that leaves ends it."""
         if self.left:
             return i.Result.CANCELLED
-        trying = self.loop.create_task(self.try_server(opening, server, give_up, named))
+        trying = self.loop.create_task(self.try_server(opening, choice, named))
         try:
             await asyncio.wait((trying, self.gone), return_when=asyncio.FIRST_COMPLETED)
             if not trying.done():
@@ -238,11 +238,11 @@
         self.front.counts[f"attempt_{result.value}"] += 1
         return result
 
-    async def try_server(self, opening: Opening, server: str, give_up: float, named: bool) -> i.Result:
+    async def try_server(self, opening: Opening, choice: i.Send, named: bool) -> i.Result:
         """Connect, send the line, wait for its answer."""
         self.report = {}
-        left = (give_up - self.core.now()) / 1000
-        address = self.front.directory.addresses.get(server)
+        left = (choice.give_up - self.core.now()) / 1000
+        address = self.front.directory.addresses.get(choice.server)
         if address is None or left <= 0:
             return i.Result.UNREACHABLE
         try:
@@ -252,7 +252,7 @@
         link = LineSocket(sock)
         result: i.Result | None = None  # none: this attempt is given up by its owner
         try:
-            result = await self.exchange(opening, link, server, give_up, named)
+            result = await self.exchange(opening, link, choice, named)
             if result is i.Result.OK:
                 self.server = link
             return result
@@ -262,27 +262,25 @@
             if result is not i.Result.OK:
                 link.close(reset=result is None or result is i.Result.TIMEOUT)
 
-    async def exchange(
-        self, opening: Opening, link: LineSocket, server: str, give_up: float, named: bool
-    ) -> i.Result:
+    async def exchange(self, opening: Opening, link: LineSocket, choice: i.Send, named: bool) -> i.Result:
         """Send the line on a connection that is up, read the server's first answer."""
-        # The list may have changed while the connection came up: a draining server gets no byte.
-        if not named and not self.core.may_send(server):
-            self.front.counts["drain_kept"] += 1
+        if not named and not self.core.may_begin(choice):  # it came up late: this server gets no byte
+            self.front.counts["begun_too_late"] += 1
             return i.Result.UNREACHABLE
         if self.left:
             return i.Result.CANCELLED
-        left = give_up - self.core.now()
+        left = choice.give_up - self.core.now()
         if left <= 0:  # no byte of it is written
             return i.Result.UNREACHABLE
         try:
             async with asyncio.timeout(left / 1000):
+                before, self.sent = self.sent, True  # it may run, also if this task is broken off
                 try:
                     await send_parts(link.sock, opening.parts(left))
                 except OSError:  # the system takes nothing of a write that fails: the last byte is not out
+                    self.sent = before
                     return i.Result.UNREACHABLE
                 self.front.figures.count("tries", opening.cls)
-                self.sent = True
                 length = await link.line()
         except TimeoutError:
             return i.Result.TIMEOUT
--- a/violetdoor/fronts/nats/session.py
+++ b/violetdoor/fronts/nats/session.py
@@ -212,9 +212,8 @@
             return None, i.Result.UNREACHABLE
         link, up = Link(sock, self.options.silence), False
         try:
-            # The list may have changed while the connection came up: a draining server gets no byte.
-            if not self.core.may_send(choice.server):
-                self.counts["drain_kept"] += 1
+            if not self.core.may_begin(choice):  # it came up late: this server gets no byte
+                self.counts["begun_too_late"] += 1
                 return None, i.Result.UNREACHABLE
             left = (choice.give_up - self.core.now()) / 1000
             async with asyncio.timeout(left):
