A silent watch is opened anew before what it missed counts; a wrong entry costs the others nothing

Cause: a watch was left 5.9 s after its call began, and where lists are asked for the module then backed off by up to 1.5 s (5 s in a large fleet), while what the watch missed counts as told 6 s after its silence began. One entry that did not read failed the whole list, again with each call: the relay never heard of another change.

Checked by tests/test_watch.py against the code before: silent watches asked and pushed (new call after 5.9 and 6.1 s), five kinds of wrong entries among right ones (no list for ever), an entry that goes wrong: all failed. Held before: a cut, a trickling, a silent whole list, an indented one, a connection closed behind an answer. Found by that last one: no connection was ever kept, as httptools tells of keep-alive only inside its callback.

Change: a silent watch is known 1 s past its wait and opened anew at once, one time, before the module is told of a failure. A wrong entry is counted and left out; a server that it names drains until its entry reads. Each call has a connection of its own, now by intent.

--- /dev/null
+++ b/tests/test_watch.py
@@ -0,0 +1,159 @@
+"""The watch on discovery where it breaks: silent, closed as it rested, cut, slow, with wrong entries among right ones."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+from standins import Discovery, GateServer, Reader, Writer, run, until
+from test_line import SETTINGS, front, line, opened, settled
+
+PATIENT = {"rules": {"askWithin": 40_000.0}}  # by itself the module would ask again after a second or later
+
+
+class Breaking(Discovery):
+    """Answers as the list stands, but for the calls that a test spoils by their number."""
+
+    def __init__(self, *servers: GateServer) -> None:
+        super().__init__(*servers)
+        self.called: list[float] = []  # s, of the loop
+        self.spoil: dict[int, str] = {}
+        self.entries: list[Any] = []  # that stand among the right ones
+        self.form: dict[str, Any] = {}
+        self.fresh = False  # relays start with no list: their first call is for the whole one
+
+    def listed(self) -> dict[str, Any]:
+        return {} if self.fresh else self.whole()
+
+    def whole(self) -> dict[str, Any]:
+        whole = super().listed()
+        return whole | {"servers": self.entries[:1] + whole["servers"] + self.entries[1:]}
+
+    async def serve(self, reader: Reader, writer: Writer) -> None:
+        while request := await reader.readline():
+            while (await reader.readline()).strip():
+                pass
+            number = self.calls
+            self.calls += 1
+            self.called.append(asyncio.get_running_loop().time())
+            way = self.spoil.get(number, "")
+            if way == "silent":
+                await reader.read(-1)
+                return
+            if b"from=%d&" % self.version in request:
+                await self.changed.wait()
+            body = json.dumps(self.whole(), **self.form).encode()
+            answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+            if way == "trickles":
+                for byte in answer:
+                    writer.write(bytes((byte,)))
+                    await asyncio.sleep(0.05)
+            writer.write(answer[: len(answer) // 2] if way == "cut" else answer)
+            if way in ("cut", "closes"):
+                await writer.drain()
+                return
+
+
+@pytest.mark.parametrize("mode", ["on_request", "pushed"])
+def test_a_silent_watch_is_anew_and_has_told_before_what_it_missed_counts(tmp_path: Path, mode: str) -> None:
+    """It counts as told 6 s after the silence began; the wait of a call is 4 s and counts from its start."""
+
+    async def test() -> None:
+        gone, stays = GateServer(), GateServer()
+        async with gone, stays, Breaking(gone, stays) as discovery:
+            discovery.fresh, discovery.spoil = True, {1: "silent"}  # the whole list comes first, then the watch
+            async with front(tmp_path, discovery, settings=SETTINGS | PATIENT | {"discovery": mode}) as it:
+                await until(lambda: discovery.calls == 2)
+                discovery.tell(gone, "draining")
+                async with asyncio.timeout(8):
+                    await until(lambda: discovery.calls >= 3)
+                first, silent, anew = discovery.called[:3]
+                assert anew - silent < 5.5, (first, silent, anew)
+                while await settled(it, "discovery_changes") < 4:  # the two lists, of two servers each
+                    await asyncio.sleep(0.01)
+                before = len(gone.opened)
+                for _ in range(20):
+                    reader, _ = await opened(it)
+                    assert await line(reader) == b"UP r1\r\n"
+                assert len(gone.opened) == before
+
+    run(test)
+
+
+def test_a_connection_that_discovery_closes_behind_an_answer_is_no_failure(tmp_path: Path) -> None:
+    async def test() -> None:
+        server = GateServer()
+        async with server, Breaking(server) as discovery:
+            discovery.fresh, discovery.spoil = True, dict.fromkeys(range(6), "closes")
+            async with front(tmp_path, discovery, settings=SETTINGS | PATIENT):
+                for calls in range(1, 7):
+                    await until(lambda calls=calls: discovery.calls >= calls)  # type: ignore[misc]
+                    told = asyncio.get_running_loop().time()
+                    discovery.tell(server, "up")
+                    await until(lambda calls=calls: discovery.calls > calls)  # type: ignore[misc]
+                    assert discovery.called[calls] - told < 0.2  # else it is no watch that goes on
+
+    run(test)
+
+
+@pytest.mark.parametrize("way", ["cut", "trickles", "silent"])
+def test_a_spoilt_list_is_left_in_time_and_asked_for_again(tmp_path: Path, way: str) -> None:
+    async def test() -> None:
+        server = GateServer()
+        async with server, Breaking(server) as discovery:
+            discovery.fresh, discovery.spoil = True, {0: way}
+            async with front(tmp_path, discovery) as it:
+                async with asyncio.timeout(5):
+                    await until(lambda: discovery.calls >= 2)
+                assert discovery.called[1] - discovery.called[0] < 2.0 + 0.5  # the whole wait, and the back-off
+                assert await settled(it, "discovery_failed") == 1
+                reader, _ = await opened(it)
+                assert await line(reader) == b"UP r1\r\n"
+
+    run(test)
+
+
+WRONG: dict[str, Any] = {
+    "no object": 7,
+    "no id": {"addr": "127.0.0.1:9"},
+    "an address without a port": {"id": "s-wrong", "addr": "127.0.0.1"},
+    "a weight of words": {"id": "s-wrong", "addr": "127.0.0.1:9", "weight": "heavy"},
+    "an unknown state": {"id": "s-wrong", "addr": "127.0.0.1:9", "state": "resting"},
+}
+
+
+@pytest.mark.parametrize("wrong", WRONG)
+def test_wrong_entries_cost_the_right_ones_nothing_and_get_no_work(tmp_path: Path, wrong: str) -> None:
+    async def test() -> None:
+        server, other = GateServer(), GateServer()
+        async with server, other, Breaking() as discovery, front(tmp_path, discovery) as it:
+            discovery.entries = [WRONG[wrong], WRONG[wrong]]
+            discovery.form = {"indent": 2}
+            discovery.tell(server, "up")
+            while not await settled(it, "discovery_wrong_entries"):
+                await asyncio.sleep(0.01)
+            for _ in range(5):
+                reader, _ = await opened(it)
+                assert await line(reader) == b"UP r1\r\n"
+            assert len(server.opened) == 5
+
+    run(test)
+
+
+def test_a_server_whose_entry_goes_wrong_gets_nothing_new(tmp_path: Path) -> None:
+    async def test() -> None:
+        spoilt, sound = GateServer(), GateServer()
+        async with spoilt, sound, Breaking(spoilt, sound) as discovery, front(tmp_path, discovery) as it:
+            await until(lambda: discovery.calls == 2)
+            discovery.tell(spoilt, "up and down")
+            while not await settled(it, "discovery_wrong_entries"):
+                await asyncio.sleep(0.01)
+            for _ in range(20):
+                reader, _ = await opened(it)
+                assert await line(reader) == b"UP r1\r\n"
+            assert not spoilt.opened
+
+    run(test)
--- a/violetdoor/net/discovery.py
+++ b/violetdoor/net/discovery.py
@@ -1,11 +1,10 @@
-"""The watch on discovery: one call after another on one connection, answers handed to the core."""
+"""The watch on discovery: one call after another, answers handed to the core."""
 
 from __future__ import annotations
 
 import asyncio
 import logging
 import random
-import socket
 from collections.abc import Callable, Iterable
 from typing import Any
 
@@ -18,8 +17,11 @@
 
 log = logging.getLogger("violetdoor.discovery")
 
-HOLD_MS = 4_000  # a silent discovery is noticed this long after, plus GRACE
-GRACE = 1.9  # s past the hold until a call has failed: 2 s past it all counts as told
+HOLD_MS = 4_000  # ms that a call may wait for a change; a watch is known to be silent WATCH_GRACE after
+# s past the wait until a watch counts as silent. What it missed counts as told 2 s past the wait: the rest is
+# for the watch to be opened anew and to tell.
+WATCH_GRACE = 1.0
+LIST_TIMEOUT = 1.9  # s for a call that does not wait: under the 2 s after which all counts as told
 CONNECT_TIMEOUT = 1.0
 # s until an agent on the own machine, whose calls cost nothing, is asked again after a failure: so soon that
 # the watch goes on (200 ms), then longer, or one that is gone would keep this process busy.
@@ -33,8 +35,12 @@
     """A call brought no list."""
 
 
-CALL_FAILED = (OSError, DiscoveryError, httptools.HttpParserError, ValueError, KeyError, TypeError,
-               AttributeError)  # fmt: skip
+class SilentError(DiscoveryError):
+    """The connection came up and brought no whole answer in time."""
+
+
+WRONG_ENTRY = (ValueError, KeyError, TypeError, AttributeError)
+CALL_FAILED = (OSError, DiscoveryError, httptools.HttpParserError, *WRONG_ENTRY)
 
 
 class Directory:
@@ -51,25 +57,44 @@
         self.version, self.newest = version, version or 0
         self.leaving = {e.server: e for e in entries if e.state is not i.ServerState.READY}
 
-    def read(self, data: dict[str, Any], kind: i.ListKind | None = None) -> i.ServerList:
-        """Read one answer, keep its addresses and version."""
+    def read(
+        self, data: dict[str, Any], kind: i.ListKind | None = None, counts: Counters | None = None
+    ) -> i.ServerList:
+        """Read one list, keep its addresses and version.
+
+        A wrong entry is an error; with `counts`, where it would come again with each call, it is counted and
+        the others hold: a server that can still be named drains until its entry reads.
+        """
         if kind is None:
             kind = i.ListKind.COMPLETE if data.get("full") else i.ListKind.CHANGES
         entries = []
         version = int(data["version"]) if "version" in data else None
         older, self.newest = (version or 0) < self.newest, max(version or 0, self.newest)
         for line in data.get("servers") or ():
-            entry = i.ServerEntry(
-                str(line["id"]), line.get("zone") or "", line.get("kind") or "", line.get("cell") or 0,
-                STATES[line.get("state", "up")], float(line.get("weight", 1.0)),
-                float(line.get("started_ms") or 0),
-            )  # fmt: skip
-            if line.get("addr"):
-                self.addresses[entry.server] = parse_address(line["addr"])
+            try:
+                entry = self._entry(line)
+            except WRONG_ENTRY as err:
+                if counts is None:
+                    raise
+                counts["discovery_wrong_entries"] += 1
+                log.warning("a wrong entry on the list: %s %s", type(err).__name__, err)
+                if not isinstance(line, dict) or not isinstance(line.get("id"), str):
+                    continue
+                entry = i.ServerEntry(line["id"], state=i.ServerState.DRAINING)
             entries.append(self._known(entry, older))
         self.version = version
         return i.ServerList(kind, tuple(entries), version or 0)
 
+    def _entry(self, line: dict[str, Any]) -> i.ServerEntry:
+        entry = i.ServerEntry(
+            str(line["id"]), line.get("zone") or "", line.get("kind") or "", line.get("cell") or 0,
+            STATES[line.get("state", "up")], float(line.get("weight", 1.0)),
+            float(line.get("started_ms") or 0),
+        )  # fmt: skip
+        if line.get("addr"):
+            self.addresses[entry.server] = parse_address(line["addr"])
+        return entry
+
     def _known(self, entry: i.ServerEntry, older: bool) -> i.ServerEntry:
         """A line as it is to be taken, and what is to be remembered of it.
 
@@ -103,40 +128,33 @@
         self.complete = True
 
 
-class _Connection:
-    """One connection to discovery, opened when a call needs it."""
-
-    def __init__(self, address: Address) -> None:
-        self.address = address
-        self._sock: socket.socket | None = None
-        self._buffer = bytearray(16 * 1024)
-
-    async def call(self, query: str) -> bytes:
-        """Ask for the list; the answer's body."""
-        host = f"{self.address[0]}:{self.address[1]}"
-        if self._sock is None:
-            self._sock = await connect(self.address, CONNECT_TIMEOUT)
-        head = f"GET /api/targets{query} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n"
-        await send_parts(self._sock, [head.encode()])
-        answer = _Answer()
-        parser = httptools.HttpResponseParser(answer)
-        loop = asyncio.get_running_loop()
-        while not answer.complete:
-            got = await loop.sock_recv_into(self._sock, self._buffer)
-            if not got:
-                raise DiscoveryError("the connection ended before the answer")
-            parser.feed_data(memoryview(self._buffer)[:got])
-        if not parser.should_keep_alive():
-            self.drop()
-        if (status := parser.get_status_code()) != 200:
-            raise DiscoveryError(f"status {status}")
-        return bytes(answer.body)
-
-    def drop(self) -> None:
-        """Close it; the next call opens it again."""
-        if self._sock is not None:
-            end(self._sock)
-            self._sock = None
+async def call(address: Address, query: str, within: float) -> bytes:
+    """Ask for the list; the answer's body. SilentError if it is not whole so many seconds after the connect.
+
+    Each call has a connection of its own. Guards against what one that is kept can bring: an end while it
+    rests, or bytes behind the answer before.
+    """
+    host = f"{address[0]}:{address[1]}"
+    sock = await connect(address, CONNECT_TIMEOUT)
+    try:
+        async with asyncio.timeout(within):
+            head = f"GET /api/targets{query} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n"
+            await send_parts(sock, [head.encode()])
+            answer, buffer = _Answer(), bytearray(16 * 1024)
+            parser = httptools.HttpResponseParser(answer)
+            loop = asyncio.get_running_loop()
+            while not answer.complete:
+                got = await loop.sock_recv_into(sock, buffer)
+                if not got:
+                    raise DiscoveryError("the connection ended before the answer")
+                parser.feed_data(memoryview(buffer)[:got])
+    except TimeoutError as err:
+        raise SilentError("no whole answer in time") from err
+    finally:
+        end(sock)
+    if (status := parser.get_status_code()) != 200:
+        raise DiscoveryError(f"status {status}")
+    return bytes(answer.body)
 
 
 class Watch:
@@ -164,7 +182,7 @@
     def follow(self) -> None:
         """Start to watch, unless that runs already."""
         if self._task is None or self._task.done():
-            self._task = asyncio.get_running_loop().create_task(self._run(_Connection(self.address)))
+            self._task = asyncio.get_running_loop().create_task(self._run())
 
     def go_over(self, address: Address) -> None:
         """Leave the old address at once and ask this one for the whole list.
@@ -173,7 +191,7 @@
         waits at the old one, and the back-off that the old one's failures have earned.
         """
         if self._task is not None:
-            self._task.cancel()  # it closes its own connection, and delivers nothing any more
+            self._task.cancel()  # its call ends, and it delivers nothing any more
             self._task = None
         self.address, self.directory.version, self.directory.newest = address, None, 0
         self.deliver(i.ServerList(i.ListKind.CHANGES))  # no change, and no failure either: back-off ends
@@ -185,35 +203,35 @@
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
 
-    async def _run(self, connection: _Connection) -> None:
+    async def _run(self) -> None:
         wait = PUSHED_AGAIN
-        try:
-            while True:
-                if await self._once(connection):
-                    wait = PUSHED_AGAIN
-                    continue
-                if not self.pushed:
-                    return
-                connection.drop()
-                await asyncio.sleep(wait * random.uniform(0.5, 1.0))
-                wait = min(PUSHED_AGAIN_MOST, 2 * wait)
-        finally:
-            connection.drop()
-
-    async def _once(self, connection: _Connection) -> bool:
-        """Call once and deliver the answer; whether the watch goes on."""
+        while True:
+            if await self._once():
+                wait = PUSHED_AGAIN
+                continue
+            if not self.pushed:
+                return
+            await asyncio.sleep(wait * random.uniform(0.5, 1.0))
+            wait = min(PUSHED_AGAIN_MOST, 2 * wait)
+
+    async def _once(self, again: bool = True) -> bool:
+        """Call once, deliver the answer; whether the watch goes on. `again`: a silent one is opened anew."""
         self.counts["discovery_calls"] += 1
         version = self.directory.version
         # Guards against asking for the whole list again and again while its version is 0.
         query = "" if version is None or self._whole else f"?from={version}&hold_ms={HOLD_MS}"
         try:
             # A call for the whole list has no wait in it: a new address that says nothing is found out soon.
-            async with asyncio.timeout(GRACE + (HOLD_MS / 1000 if query else 0.0)):
-                data = orjson.loads(await connection.call(query))
-            servers, self._whole = self.directory.read(data), False
+            within = HOLD_MS / 1000 + WATCH_GRACE if query else LIST_TIMEOUT
+            data = orjson.loads(await call(self.address, query, within))
+            servers, self._whole = self.directory.read(data, counts=self.counts), False
         except CALL_FAILED as err:
             self.counts["discovery_failed"] += 1
             log.warning("discovery call failed: %s %s", type(err).__name__, err)
+            # Guards against the module's back-off behind a watch that fell silent: what that missed counts as
+            # told before the back-off is over. Discovery itself is not known to be down.
+            if again and query and isinstance(err, SilentError):
+                return await self._once(again=False)
             # The module asks again in its own time: it spreads the calls of many relays and backs off.
             if not self.pushed:
                 self.deliver(i.ServerList(i.ListKind.REFUSED))
