A server's word that it drains holds against a list that lags; vanished classes are forgotten

Cause: a server's own word was written into the list as if discovery had told it, so the next whole list that had not heard yet lifted it, and 30 s later an entry of then was put back, whatever the list had told before. Reloads merged the classes of all settings that there ever were; their shortest aim for messages counted for good, and the table grew.

Ruled out: a list that tells of a drain during the 30 s (it replaced the entry and held).

Change: the word is kept beside the list with the start of the process that gave it, like a ban, and handed to a successor; a newer start or 30 s end it, then the list holds as it is. A vanished class is known for 40 s more, as long as a request from before may take to come up, and then goes from the core and the module.

--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -4,12 +4,15 @@
 
 import asyncio
 import time
+from dataclasses import replace
 
+import pytest
 import uvloop
 from helpers import Node
 
 from lynxdeck import interface as i
 from violetdoor.core import Controller, Ticket
+from violetdoor.core import controller as module
 
 
 def unix_ms() -> float:
@@ -74,3 +77,56 @@
             assert isinstance(choice, i.Send) and choice.server == "s1"
 
     uvloop.run(test())
+
+
+def test_a_servers_word_that_it_drains_stands_against_a_list_that_has_not_heard() -> None:
+    async def test() -> None:
+        core = controller(2)
+        core.drains("s0")
+        old = core.entries["s0"]
+        core.listed(i.ServerList(i.ListKind.COMPLETE, tuple(core.entries.values())))
+        assert not core.may_send("s0")
+        for _ in range(5):
+            choice = await arrive(core).decision()
+            assert isinstance(choice, i.Send) and choice.server == "s1"
+        core.listed(i.ServerList(i.ListKind.CHANGES, (replace(old, started=old.started + 1),)))
+        assert core.may_send("s0")  # another process: the word was not of it
+
+    uvloop.run(test())
+
+
+@pytest.mark.parametrize("state", [i.ServerState.READY, i.ServerState.DRAINING, i.ServerState.GONE])
+def test_after_a_while_a_server_that_said_it_drains_is_as_the_list_has_it(
+    monkeypatch: pytest.MonkeyPatch, state: i.ServerState
+) -> None:
+    async def test() -> None:
+        monkeypatch.setattr(module, "DRAIN_BELIEVED", 0.05)
+        core = controller(2)
+        core.drains("s0")
+        core.listed(i.ServerList(i.ListKind.CHANGES, (replace(core.entries["s0"], state=state),)))
+        assert not core.may_send("s0")
+        while core.draining:
+            await asyncio.sleep(0.01)
+        assert core.may_send("s0") == (state is i.ServerState.READY)
+
+    uvloop.run(test())
+
+
+def test_classes_that_vanished_are_known_to_what_is_under_way_and_then_forgotten(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """For ever they would tell by their aims when a message is late, and grow with each reload."""
+
+    async def test() -> None:
+        monkeypatch.setattr(module, "CLASS_KEPT", 0.05)
+        core = controller(1)
+        (feed,) = core.settings.classes.values()
+        for name in ("a", "b"):
+            core.reconfigure(replace(core.settings, classes={name: replace(feed, message_aim=1.0)}), False)
+            assert {"feed", name} <= core.settings.classes.keys()
+        arrive(core)  # read before the reload
+        while len(core.settings.classes) > 1:
+            await asyncio.sleep(0.01)
+        assert core.settings.classes.keys() == core.balancer.settings.classes.keys() == {"b"}
+
+    uvloop.run(test())
--- a/violetdoor/core/controller.py
+++ b/violetdoor/core/controller.py
@@ -28,7 +28,8 @@
 CONNECTION_SILENT = 3_500.0  # ms without an answer on one connection after which that counts as silent
 UNANSWERED_MOST = 64  # messages of one connection whose answers are timed
 EMPTY_WITHIN, EMPTY_STEP = 1_200.0, 50.0  # ms to move the clients of a banned server in; a step
-DRAIN_BELIEVED = 30.0  # s after which a server that said it drains may be asked again, if the list has it
+DRAIN_BELIEVED = 30.0  # s after which a server that said it drains is as listed: lists come within 6 s
+CLASS_KEPT = 40.0  # s that a vanished class is known: a request of an earlier run has so long to come up
 
 PROBE_SPARED = 0.5  # s by which a probe is put off while the relay has too much to do
 
@@ -165,13 +166,14 @@
         self.balancer = Balancer(settings, seed, clock())
         self.tickets: dict[int, Ticket] = {}
         self.standing: dict[str, dict[int, Ticket]] = {}  # by server
-        self.entries: dict[str, i.ServerEntry] = {}  # as the list has them; bans are laid over
+        self.entries: dict[str, i.ServerEntry] = {}  # as the list has them; `_effective` overrides
         self.named: set[str] = set()  # all servers that a list has ever named
         self.bans: dict[str, float] = {}  # servers that are left out by hand, since when
+        self.draining: dict[str, float] = {}  # servers that said so themselves: the start of that process
         self.returned: dict[str, tuple[float, float]] = {}  # those put back: banned at, put back at
         self.follow: Callable[[], None] = lambda: None
         self.prober: Prober | None = None
-        self.told_nodes = settings.nodes
+        self.told_nodes, self.told_classes = settings.nodes, settings.classes
         self.living: int | None = None  # relays that are known to live, where that is known
         self.on_drain: Callable[[str], None] = lambda server: None
         self.faults = 0
@@ -187,13 +189,21 @@
         self.loop.call_later(WINDOW / 1000, self._tell_delays)
 
     def reconfigure(self, settings: i.Settings, tells_delay: bool) -> None:
-        """Go over to new settings at once; classes that have vanished stay for what is under way."""
+        """Go over to new settings at once; classes that have vanished stay a while for what is under way."""
         aims = [c.message_aim for c in settings.classes.values()]
         self.delays.threshold, self.tells_delay = min(aims, default=0.0) / 3, tells_delay and bool(aims)
         self.told_nodes = settings.nodes
         nodes = settings.nodes if self.living is None else self.living
+        self.told_classes = settings.classes
         self.settings = replace(settings, nodes=nodes, classes={**self.settings.classes, **settings.classes})
         self.handle(i.Reconfigured(self.settings))
+        if len(self.settings.classes) > len(settings.classes):
+            self.loop.call_later(CLASS_KEPT, self._forget_classes)
+
+    def _forget_classes(self) -> None:
+        """Guards against classes of all settings that ever held: their aims would count for ever."""
+        self.settings = replace(self.settings, classes=self.told_classes)
+        self.handle(i.Reconfigured(self.settings))
 
     def relays(self, count: int | None) -> None:
         """How many relays share the servers now; none: nobody knows better than the settings."""
@@ -212,23 +222,29 @@
             else:
                 self.entries[entry.server] = entry
                 self.named.add(entry.server)
-        self.handle(replace(servers, entries=tuple(map(self._laid_over, servers.entries))))
+        self.handle(replace(servers, entries=tuple(map(self._effective, servers.entries))))
 
-    def _laid_over(self, entry: i.ServerEntry) -> i.ServerEntry:
-        """What the module is told of a server: by hand it can be left out, and come back cold.
+    def _effective(self, entry: i.ServerEntry) -> i.ServerEntry:
+        """What the module is told of a server: by hand it can be left out, and come back cold; it may drain.
 
-        Guards against a list that lifts a ban, or that has not heard yet of the restart that a ban was for.
+        Guards against a list that lifts a ban or a server's own word that it drains, or that has not heard
+        yet of the restart that a ban was for.
         """
         banned, back = self.returned.get(entry.server, (0.0, 0.0))
         if back and entry.started < banned:
             entry = replace(entry, started=back)
-        if entry.server in self.bans and entry.state is i.ServerState.READY:
+        left_out = entry.server in self.bans or self._drains_by_word(entry)
+        if left_out and entry.state is i.ServerState.READY:
             entry = replace(entry, state=i.ServerState.DRAINING)
         return entry
 
-    def _tell_again(self, server: str) -> None:
+    def _drains_by_word(self, entry: i.ServerEntry) -> bool:
+        """Whether this very process of the server said itself that it drains, not long ago."""
+        return entry.started <= self.draining.get(entry.server, -math.inf)
+
+    def _resend(self, server: str) -> None:
         if entry := self.entries.get(server):
-            self.handle(i.ServerList(i.ListKind.CHANGES, (self._laid_over(entry),)))
+            self.handle(i.ServerList(i.ListKind.CHANGES, (self._effective(entry),)))
 
     def ban(self, server: str, since: float) -> bool:
         """Leave a server out by hand from now on and move its clients; False for one never listed."""
@@ -236,7 +252,7 @@
             return False
         if server not in self.bans:
             self.bans[server] = since
-            self._tell_again(server)
+            self._resend(server)
             self._empty(server, self.now() + EMPTY_WITHIN)
         return True
 
@@ -246,7 +262,7 @@
             return False
         if banned := self.bans.pop(server, None):
             self.returned[server] = (banned, self.now())
-            self._tell_again(server)
+            self._resend(server)
         return True
 
     def _empty(self, server: str, until: float) -> None:
@@ -261,7 +277,7 @@
     def may_send(self, server: str) -> bool:
         """Whether new work may go there now."""
         entry = self.entries.get(server)
-        return server not in self.bans and entry is not None and entry.state is i.ServerState.READY
+        return entry is not None and self._effective(entry).state is i.ServerState.READY
 
     def may_begin(self, choice: i.Send) -> bool:
         """Whether an attempt may still begin; ask just before the first byte, a connection can come up late.
@@ -271,22 +287,29 @@
         return self.may_send(choice.server) and self.now() <= choice.begin_by
 
     def drains(self, server: str, told: bool = False) -> None:
-        """A server said itself that it drains: as if the list had told, until the list or time says more.
+        """A server said itself that it drains: as if the list had told, until it starts anew or time is over.
 
         `told`: it said so to another relay.
         """
         entry = self.entries.get(server)
-        if entry is None or entry.state is not i.ServerState.READY:
+        if entry is None or entry.state is not i.ServerState.READY or self._drains_by_word(entry):
             return
-        drained = replace(entry, state=i.ServerState.DRAINING)
-        self.listed(i.ServerList(i.ListKind.CHANGES, (drained,)))
+        self.believe({server: entry.started})
+        self._resend(server)
         if not told:
             self.on_drain(server)
-        self.loop.call_later(DRAIN_BELIEVED, self._drained_enough, drained, entry)
 
-    def _drained_enough(self, drained: i.ServerEntry, entry: i.ServerEntry) -> None:
-        if self.entries.get(entry.server) is drained:
-            self.listed(i.ServerList(i.ListKind.CHANGES, (entry,)))
+    def believe(self, draining: Mapping[str, float]) -> None:
+        """Take these servers, by the start of the process that said so, as draining for a while."""
+        self.draining.update(draining)
+        for server, started in draining.items():
+            self.loop.call_later(DRAIN_BELIEVED, self._drained_enough, server, started)
+
+    def _drained_enough(self, server: str, started: float) -> None:
+        """Go by the list again, which may have told anything meanwhile."""
+        if self.draining.get(server) == started:
+            del self.draining[server]
+            self._resend(server)
 
     def avoided(self) -> int:
         """How many servers of the list get nothing new, by hand or by the module's choice."""
@@ -304,7 +327,7 @@
         """Begin from what the process before this one knew; its bans are in force already."""
         self.entries = dict(entries)
         self.named.update(entries)
-        listed = i.ServerList(i.ListKind.REMEMBERED, tuple(map(self._laid_over, entries.values())))
+        listed = i.ServerList(i.ListKind.REMEMBERED, tuple(map(self._effective, entries.values())))
         self.handle(replace(known, listed=listed))
 
     def rest(self, resting: bool) -> None:
--- a/violetdoor/net/listing.py
+++ b/violetdoor/net/listing.py
@@ -32,6 +32,7 @@
         """Start from all that the process before this one knew."""
         core = self.core
         core.named.update(state["named"])
+        core.believe(state.get("draining", {}))  # a predecessor of an older version tells none
         rows = [i.ServerEntry(**row | {"state": i.ServerState(row["state"])}) for row in state["entries"]]
         entries = {entry.server: entry for entry in rows}
         servers = tuple(i.ServerKnown(**row) for row in state["knowledge"]["servers"])
@@ -63,5 +64,6 @@
         return {
             "named": sorted(self.core.named), "entries": list(self.core.entries.values()),
             "addresses": self.directory.addresses, "version": self.directory.version,
+            "draining": self.core.draining,
             "knowledge": self.core.balancer.knowledge(),
         }  # fmt: skip
