--- a/lynxdeck/policy.py
+++ b/lynxdeck/policy.py
@@ -304,7 +304,8 @@
         more = sure * len(self.servers) * (self.fleet or TYPICAL) / ROOM
         most = HOMES + int(more) - int(HOMES_LESS * math.log(self.settings.nodes))  # each finds others full
         first = [s for s in self.order(group) if s.ready and s.health >= AVOIDED][:most]
-        away = self.random.randrange(1, max(2, len(first))) if request.again else 0  # the first lost it
+        lost = request.again and not self.settings.probes  # by a server that looks as good as ever
+        away = self.random.randrange(1, max(2, len(first))) if lost else 0
         good = (s for s in first[away:] + first[:away] if not self.full(s) and self.trusted(request, s))
         return list(itertools.islice((s for s in good if self.has_turn(s, request.load)), turns))
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -151,6 +151,16 @@
     assert homes[0] not in gone and set(gone) <= set(homes) and len(set(gone)) > 1
 
 
+def test_where_servers_report_their_load_the_first_home_with_room_stays_the_first() -> None:
+    node = Node(servers=8, nodes=40, probes=True)
+    homes = [s.name for s in node.balancer.order(7)]
+    for request in range(1, 11):
+        node.now += 2_000.0
+        node.ask(request, group=7, again=True)
+        node.probe_all(0.3)
+        assert node.sent(request) == homes[:1]
+
+
 @pytest.mark.parametrize("nodes", [1, 40, 200])
 def test_a_group_whose_homes_have_no_room_is_not_spread_over_all_servers(nodes: int) -> None:
     """Each server with any of it pays for it: 95 pairs of server and group became 900, half of all work."""
