--- /dev/null
+++ b/tests/test_floods.py
@@ -0,0 +1,107 @@
+"""Peers that say too much: none costs another connection anything, and nothing of it is kept."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import re
+from pathlib import Path
+
+import pytest
+from standins import GateServer, Reader, Writer, run, until
+from test_clients_leave import PATIENT, around, leave
+from test_endings import LONG, all_of
+from test_line import SETTINGS, first_line, line, opened, settled
+
+
+@pytest.mark.parametrize("how", ["end", "reset"])
+@pytest.mark.parametrize("flood", [b"x" * 200_000, b"PING\r\n" * 20_000, b"M 1\r\n" * 20_000])
+def test_clients_that_send_much_at_once_and_go_leave_nothing_behind(tmp_path: Path, how: str, flood: bytes) -> None:
+    async def test() -> None:
+        async with around(tmp_path, GateServer(), policyLimits=PATIENT) as (it, _):
+            reader, writer = await opened(it, LONG)
+            assert await line(reader) == b"UP r1\r\n"
+
+            def held() -> int:
+                return len(os.listdir(f"/proc/{it.process.pid}/fd"))
+
+            before = held() + 2  # a call to discovery and one to the console may be there or not
+            for _ in range(30):
+                _, loud = await it.open()
+                loud.write(first_line(LONG) * flood.startswith(b"M") + flood)
+                await asyncio.sleep(0)
+                leave(loud, how)
+            writer.write(b"M 1\r\n")  # the one that stood goes on meanwhile
+            assert await line(reader) == b"re M 1\r\n"
+            while await settled(it, "accepted") < 31 or held() > before:
+                await asyncio.sleep(0.02)
+            other, _ = await opened(it, LONG)
+            assert await line(other) == b"UP r1\r\n"
+            assert not await settled(it, "faults")
+
+    run(test)
+
+
+@pytest.mark.parametrize(("first", "result"), [(b"ERR\r\n", "error"), (b"BUSY\r\n", "full")])
+def test_a_second_answer_is_no_answer(tmp_path: Path, first: bytes, result: str) -> None:
+    """The first one is read and counted before the second one is said."""
+
+    async def test() -> None:
+        said = asyncio.Event()
+
+        class Twice(GateServer):
+            async def serve(self, reader: Reader, writer: Writer) -> None:
+                self.opened.append(await reader.readline())
+                writer.write(first)
+                await said.wait()
+                with contextlib.suppress(ConnectionError):
+                    writer.write(b"UP r2\r\n")
+                    await writer.drain()
+
+        one = Twice()
+        limits = PATIENT | {"sendCap": 1}
+        async with around(tmp_path, one, policyLimits=limits) as (it, _):
+            reader, _ = await opened(it, LONG)
+            while not await settled(it, f"attempt_{result}"):
+                await asyncio.sleep(0.01)
+            said.set()
+            assert re.fullmatch(rb"BUSY \d+\r\n", await all_of(reader))
+            assert not await settled(it, "answered_up")
+
+    run(test)
+
+
+def test_a_server_that_floods_one_client_that_does_not_read_costs_the_others_nothing(tmp_path: Path) -> None:
+    async def test() -> None:
+        class Loud(GateServer):
+            async def serve(self, reader: Reader, writer: Writer) -> None:
+                self.opened.append(await reader.readline())
+                writer.write(b"UP r1\r\n")
+                if len(self.opened) > 1:
+                    while text := await reader.readline():
+                        writer.write(b"re " + text)
+                    return
+                with contextlib.suppress(ConnectionError):
+                    while True:
+                        writer.write(b"M %s\r\n" % (b"x" * 1000) * 100)
+                        await writer.drain()
+
+        server = Loud()
+        async with around(tmp_path, server, policyLimits=PATIENT) as (it, _):
+            _, deaf = await opened(it, LONG)
+            deaf.transport.pause_reading()  # type: ignore[attr-defined]
+            await until(lambda: server.opened)
+            reader, writer = await opened(it, LONG)
+            assert await line(reader) == b"UP r1\r\n"
+            for n in range(20):
+                writer.write(b"M %d\r\n" % n)
+                assert await line(reader) == b"re M %d\r\n" % n
+            it.process.terminate()  # the lock on the deaf one's lines is held: its MOVE is not waited for
+            began = asyncio.get_running_loop().time()
+            assert await all_of(reader) == b"MOVE\r\n"
+            assert await it.process.wait() == 0
+            kill = SETTINGS["classes"][0]["hardLimit"] / 1000 + 0.7
+            assert asyncio.get_running_loop().time() - began < kill
+
+    run(test)
