--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -19,9 +19,9 @@
 from violetdoor.faults.history import History
 from violetdoor.faults.links import Links
 from violetdoor.faults.scenario import drawn, read, written
-from violetdoor.fleet.keeper import SLOT, Keeper, StateFaultError
-from violetdoor.fleet.lease import CLEAR
-from violetdoor.fleet.messages import Memory
+from violetdoor.fleet.lease import LEASE_EXPIRY
+from violetdoor.fleet.messages import DurableState
+from violetdoor.fleet.state_file import SLOT_BYTES, StateFile, StateFileError
 from violetdoor.fleet.view import Peer, View
 
 SCENARIOS = ROOT / "examples" / "faults"
@@ -101,7 +101,7 @@
     (2.0, "c0", "end", {"id": "1", "relay": "r0", "how": "done"}),
     (9.0, "rig", "links", {"groups": [["r1", "r2"]], "worst": 0.0}), (9.0, "r0", "down", {}),
     (9.5, "r0", "fleet.stale", {}), (10.0, "r1", "fleet.view", V2), (10.0, "r2", "fleet.view", V2),
-    (10.0 + CLEAR + 1, "r1", "owns", {"key": "k", "view": "1/2", "asked": 10.0 + CLEAR + 1}),
+    (10.0 + LEASE_EXPIRY + 1, "r1", "owns", {"key": "k", "view": "1/2", "asked": 10.0 + LEASE_EXPIRY + 1}),
     (30.0, "rig", "links", {"groups": [["r1", "r2"]], "worst": 0.0}),
 ]  # fmt: skip
 END = next(n for n, row in enumerate(SOUND) if row[2] == "end")
@@ -128,7 +128,7 @@
     ("owners", [*SOUND[:END], (1.3, "r1", "owns", {"key": "k", "view": "1/1", "asked": 1.3}), *SOUND[END:]]),
     ("leases", [*SOUND, (9.8, "r0", "owns", {"key": "j", "view": "1/1", "asked": 9.8})]),
     ("clear", [*[r for r in SOUND if r[2] != "fleet.stale"],
-               (10.1 + CLEAR, "r0", "owns", {"key": "j", "view": "1/1", "asked": 10.1 + CLEAR})]),
+               (10.1 + LEASE_EXPIRY, "r0", "owns", {"key": "j", "view": "1/1", "asked": 10.1 + LEASE_EXPIRY})]),
     ("settled", [r for r in SOUND if r[3] is not V2]),
     ("settled", [*SOUND[:-1], (11.0, "r2", "fleet.stale", {}), SOUND[-1]]),
 ]  # fmt: skip
@@ -206,15 +206,15 @@
 # What a relay must not forget.
 
 
-def memory(seq: int) -> Memory:
-    return Memory(
+def memory(seq: int) -> DurableState:
+    return DurableState(
         View(7, seq, (Peer("r0", seq, "127.0.0.1", 1), Peer("r1", 2, "127.0.0.1", 2))), promised=seq
     )
 
 
 @contextlib.contextmanager
-def keeper(path: Path):  # type: ignore[no-untyped-def]
-    it = Keeper(path)
+def state_file(path: Path):  # type: ignore[no-untyped-def]
+    it = StateFile(path)
     try:
         yield it
     finally:
@@ -226,33 +226,35 @@
     tmp_path: Path, harm: Callable[[int], int]
 ) -> None:
     path = tmp_path / "r0.state"
-    with keeper(path) as it:
+    with state_file(path) as it:
         assert it.read() is None
         it.write(memory(1))
         it.write(memory(2))
     whole = bytearray(path.read_bytes())
-    with keeper(path) as it:
+    with state_file(path) as it:
         assert it.read() == memory(2)
         it.write(memory(3))
     after = path.read_bytes()
-    start = SLOT if whole[:SLOT] == after[:SLOT] else 0  # the slot that the third was written to
-    length = len(after[start : start + SLOT].rstrip(b"\0"))
+    start = (
+        SLOT_BYTES if whole[:SLOT_BYTES] == after[:SLOT_BYTES] else 0
+    )  # the slot that the third was written to
+    length = len(after[start : start + SLOT_BYTES].rstrip(b"\0"))
     for cut in range(0, length + 1, 7):
         torn = bytearray(whole)
         torn[start : start + cut] = after[start : start + cut]
         if cut:  # the sector at the tear may hold anything
             torn[start + cut - 1] = harm(torn[start + cut - 1])
         path.write_bytes(torn)
-        with keeper(path) as it:
+        with state_file(path) as it:
             assert it.read() in (memory(2), memory(3))
 
 
 def test_a_file_without_a_whole_part_or_with_another_holder_is_refused(tmp_path: Path) -> None:
     path = tmp_path / "r0.state"
-    with keeper(path) as it:
+    with state_file(path) as it:
         it.write(memory(1))
-        with pytest.raises(StateFaultError, match="another process holds it"):
-            Keeper(path)
-    path.write_bytes(os.urandom(2 * SLOT))
-    with keeper(path) as it, pytest.raises(StateFaultError, match="neither of its two parts is whole"):
+        with pytest.raises(StateFileError, match="another process holds it"):
+            StateFile(path)
+    path.write_bytes(os.urandom(2 * SLOT_BYTES))
+    with state_file(path) as it, pytest.raises(StateFileError, match="neither of its two parts is whole"):
         it.read()
--- a/tests/test_fleet_search.py
+++ b/tests/test_fleet_search.py
@@ -53,17 +53,17 @@
 
 def a_restart_forgets(patch: pytest.MonkeyPatch) -> None:
     """A restarted relay remembers its view and none of its promises."""
-    of = agreement.Agreement.of
+    restore = agreement.Agreement.restore
 
-    def blank(memory: m.Memory, me: str, random: Random) -> agreement.Agreement:
-        return of(m.Memory(memory.view), me, random)
+    def blank(state: m.DurableState, me: str, random: Random) -> agreement.Agreement:
+        return restore(m.DurableState(state.view), me, random)
 
-    patch.setattr(agreement.Agreement, "of", blank)
+    patch.setattr(agreement.Agreement, "restore", blank)
 
 
 def nobody_waits_for_leases(patch: pytest.MonkeyPatch) -> None:
     """A new view is acted on at once."""
-    patch.setattr(node, "CLEAR", 0.0)
+    patch.setattr(node, "LEASE_EXPIRY", 0.0)
 
 
 def a_lease_begins_when_it_is_seen(patch: pytest.MonkeyPatch) -> None:
@@ -71,10 +71,10 @@
     count = lease.Lease._count
 
     def late(self: lease.Lease, now: float) -> None:
-        was = self.until
+        was = self.expires_at
         count(self, now)
-        if self.until > was:
-            self.until = now + lease.LEASE
+        if self.expires_at > was:
+            self.expires_at = now + lease.LEASE_DURATION
 
     patch.setattr(lease.Lease, "_count", late)
 
@@ -102,18 +102,18 @@
 
 def every_doubt_is_a_proof(patch: pytest.MonkeyPatch) -> None:
     """Whom somebody holds for dead is taken for gone for sure."""
-    over = swim.Detector.over
+    confirm_dead = swim.Detector.confirm_dead
 
     def sure(self: swim.Detector, name: str, now: float, proved: bool = False) -> None:
-        over(self, name, now, True)
+        confirm_dead(self, name, now, True)
 
     def dead(self: node.Node, name: str, now: float) -> None:
-        self.proved[self.view.peer(name).instance] = None  # type: ignore[union-attr]
-        self.ended.add(name)
-        self.detector.over(name, now, True)
+        self.dead_instances[self.view.peer(name).instance] = None  # type: ignore[union-attr]
+        self.ended_members.add(name)
+        self.detector.confirm_dead(name, now, True)
 
-    patch.setattr(swim.Detector, "over", sure)
-    patch.setattr(node.Node, "_ended", dead)
+    patch.setattr(swim.Detector, "confirm_dead", sure)
+    patch.setattr(node.Node, "_end_member", dead)
 
 
 BUGS: list[tuple[explore.Kind, Patch]] = [
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -9,9 +9,9 @@
 
 from violetdoor.faults.virtual import World
 from violetdoor.fleet import messages as m
-from violetdoor.fleet.lease import CLEAR, LEASE
-from violetdoor.fleet.node import HELD, Standing
-from violetdoor.fleet.shared import ENTRIES_MOST
+from violetdoor.fleet.lease import LEASE_DURATION, LEASE_EXPIRY
+from violetdoor.fleet.node import REJOIN_INTERVAL, MemberState
+from violetdoor.fleet.shared import MAX_ENTRIES
 
 CRASH, HEAL, JOINS = 3.0, 5.0, 5.0  # s that each may take
 
@@ -64,15 +64,15 @@
     world = fleet(5)
     for name in names(3):
         world.kill(name)
-    assert world.run(LEASE + 0.5, lambda: not acts(world, "r003") and not acts(world, "r004"))
+    assert world.run(LEASE_DURATION + 0.5, lambda: not acts(world, "r003") and not acts(world, "r004"))
     world.run(20.0)
     assert not acts(world, "r003") and len(world.views(["r003", "r004"])) == 1
     assert ("r003", "fleet.stale") in {(who, what) for _, who, what, _ in world.events}
     # Those that come back remember what they decided with, and the line goes on.
-    line = node(world, "r003").view.line
+    line = node(world, "r003").view.epoch
     for name in names(3):
         world.start(name, names(3), names(5))
-    assert settles(world, names(5), 2 * HEAL) and node(world, "r003").view.line == line
+    assert settles(world, names(5), 2 * HEAL) and node(world, "r003").view.epoch == line
 
 
 def test_the_operators_way_out_is_refused_while_a_majority_is_reached() -> None:
@@ -81,10 +81,10 @@
     for name in names(3):
         world.kill(name)
     world.run(10.0)
-    line = node(world, "r003").view.line
+    line = node(world, "r003").view.epoch
     assert node(world, "r003").force(world.clock(world.hosts["r003"])) == ""
     world._carry_out(world.hosts["r003"])
-    assert settles(world, ["r003", "r004"], HEAL) and node(world, "r003").view.line > line
+    assert settles(world, ["r003", "r004"], HEAL) and node(world, "r003").view.epoch > line
     # Those of the old line give it up for the one that lives.
     for name in names(3):
         world.start(name, names(3), names(5))
@@ -94,13 +94,13 @@
 @pytest.mark.parametrize("durable", [True, False])
 def test_all_restarted_at_once_come_back_to_one_view(durable: bool) -> None:
     world = fleet(5, durable=durable)
-    line = node(world, "r000").view.line
+    line = node(world, "r000").view.epoch
     for name in names(5):
         world.kill(name)
     for name in names(5):
         world.start(name, names(3), names(5))
     assert settles(world, names(5), 2 * HEAL)
-    assert (node(world, "r000").view.line == line) is durable  # who forgot all begins anew
+    assert (node(world, "r000").view.epoch == line) is durable  # who forgot all begins anew
 
 
 def test_one_that_lay_still_for_ten_seconds_knows_before_its_next_act() -> None:
@@ -148,9 +148,9 @@
         if (who, what) == ("r000", "fleet.view")
     ]
     let_in = [at for (_, was), (at, now) in pairwise(seen) if now and not was]
-    assert let_in and all(b - a >= HELD for a, b in pairwise(let_in[1:]))
+    assert let_in and all(b - a >= REJOIN_INTERVAL for a, b in pairwise(let_in[1:]))
     assert len(let_in) <= 2  # the first entry, and one return
-    assert settles(world, names(4), HELD + HEAL)
+    assert settles(world, names(4), REJOIN_INTERVAL + HEAL)
 
 
 def test_who_is_unheard_by_some_only_is_in_or_out_for_all() -> None:
@@ -171,7 +171,7 @@
     world.run(20.0)
     assert len([1 for _, _, what, _ in world.events if what == "fleet.view"]) - seen <= 5
     world.heal()
-    assert settles(world, names(5), HELD + HEAL)
+    assert settles(world, names(5), REJOIN_INTERVAL + HEAL)
 
 
 def test_a_third_lost_repeated_and_overtaking_takes_nobody_out_that_lives() -> None:
@@ -205,7 +205,7 @@
     twin.node.plan = replace(twin.node.plan, name="r002")
     twin.node.me = twin.node._new_life()
     world.run(5.0)
-    assert twin.node.standing is Standing.OUTSIDE and node(world, "r000").view.peer("r002") == before
+    assert twin.node.state is MemberState.OUTSIDE and node(world, "r000").view.peer("r002") == before
     assert ("twin", "fleet.refused", "name") in {
         (who, what, v.get("why")) for _, who, what, v in world.events
     }
@@ -235,7 +235,7 @@
         world.kill(name)
         world.start(name, names(3), names(3), version=2)
         assert settles(world, names(4), 2 * HEAL)
-    assert all(set(node(world, n).versions.values()) == {2} for n in names(4))
+    assert all(set(node(world, n).peer_versions.values()) == {2} for n in names(4))
 
 
 def test_who_leaves_is_out_at_once_and_returns_under_its_name() -> None:
@@ -260,8 +260,8 @@
         return [n for n in names(2, 1) if node(world, n).owns(key, world.clock(world.hosts[n]))]
 
     assert world.run(CRASH, lambda: world.settled(names(2, 1))) and not heirs()
-    until = node(world, "r000").lease.until - world.clock(world.hosts["r000"])
-    assert world.run(CLEAR + 1.0, lambda: bool(heirs()))
+    until = node(world, "r000").lease.expires_at - world.clock(world.hosts["r000"])
+    assert world.run(LEASE_EXPIRY + 1.0, lambda: bool(heirs()))
     assert world.now - began > until
 
 
@@ -278,14 +278,14 @@
     assert world.run(1.0, lambda: len({node(world, n).map.digest for n in names(4)}) == 1)
     assert node(world, "r000").map.values("ban") == {"a": 3.0, "b": 2.0}
     world.start("r004", (), names(3))
-    assert world.run(HEAL, lambda: node(world, "r004").standing is Standing.MEMBER)
+    assert world.run(HEAL, lambda: node(world, "r004").state is MemberState.MEMBER)
     assert node(world, "r004").map.values("ban") == {"a": 3.0, "b": 2.0}
 
 
 def test_a_full_map_refuses_openly_and_forgets_only_old_tombstones() -> None:
     world = fleet(3)
     clock = world.clock(world.hosts["r000"])
-    for n in range(ENTRIES_MOST):
+    for n in range(MAX_ENTRIES):
         assert node(world, "r000").put(f"ban:{n}", 1.0, clock)
     assert not node(world, "r000").put("ban:more", 1.0, clock)
     node(world, "r000").put("ban:0", None, clock)
@@ -301,7 +301,7 @@
     world.run(20.0)
     per_second = max(world.bytes.values()) / 20.0
     assert per_second < 4096
-    assert world.longest <= m.DATAGRAM_MOST
+    assert world.longest <= m.MAX_DATAGRAM
 
 
 def test_no_packet_is_too_long_where_names_are_as_long_as_can_be() -> None:
@@ -318,31 +318,31 @@
     for name in everybody[:50]:
         world.kill(name)
     assert world.run(20.0, lambda: world.settled(everybody[50:]))
-    assert 2000 < world.longest <= m.DATAGRAM_MOST
+    assert 2000 < world.longest <= m.MAX_DATAGRAM
 
 
 @pytest.mark.parametrize("size", [20, 48])
 def test_many_restarted_at_once_are_back_in_seconds(size: int) -> None:
     world = fleet(size)
-    line = node(world, "r000").view.line
+    line = node(world, "r000").view.epoch
     for name in names(size):
         world.kill(name)
         world.start(name, names(3), names(5))
     assert settles(world, names(size), 2 * HEAL)
-    assert node(world, "r000").view.line == line
+    assert node(world, "r000").view.epoch == line
 
 
 def test_how_many_share_the_servers_follows_those_that_live_and_never_doubles_more_than_twice() -> None:
     world = fleet(5)
-    assert {node(world, n).sharers() for n in names(5)} == {5}
+    assert {node(world, n).active_relays() for n in names(5)} == {5}
     world.kill("r000")
-    assert settles(world, names(4, 1), CRASH) and {node(world, n).sharers() for n in names(4, 1)} == {4}
+    assert settles(world, names(4, 1), CRASH) and {node(world, n).active_relays() for n in names(4, 1)} == {4}
     world.kill("r001")
     world.kill("r002")
     world.run(2 * CRASH)  # two of four: nobody says whether the others are dead or cut off
-    assert {node(world, n).sharers() for n in names(2, 3)} == {2}
+    assert {node(world, n).active_relays() for n in names(2, 3)} == {2}
     world.kill("r004")
     world.run(2 * CRASH)
-    assert node(world, "r003").sharers() == 2
+    assert node(world, "r003").active_relays() == 2
     node(world, "r003").leave(world.clock(world.hosts["r003"]))
-    assert node(world, "r003").sharers() is None
+    assert node(world, "r003").active_relays() is None
--- a/violetdoor/cli/fleet.py
+++ b/violetdoor/cli/fleet.py
@@ -42,12 +42,12 @@
         connection.close()
 
 
-def _told(console: str | None, path: Path | None) -> dict[str, Any]:
+def _status(console: str | None, path: Path | None) -> dict[str, Any]:
     status, text = ask("GET", "/fleet", console, path)
     if status != 200:
         fail("this relay is in no fleet: its file has no [fleet] table", 1)
-    told: dict[str, Any] = orjson.loads(text)
-    return told
+    state: dict[str, Any] = orjson.loads(text)
+    return state
 
 
 @click.group("fleet", epilog=STATUS)
@@ -59,19 +59,19 @@
 @_options
 def show_view(console: str | None, path: Path | None) -> int:
     """Print the view that a relay stands at; status 1 where it holds no lease."""
-    told = _told(console, path)
-    held = f"lease holds for {told['lease_left_s']:.1f} s"
-    lease = held if told["may_act"] else "no lease: it does nothing that is one relay's to do"
-    view = f"view {told['view']} {told['digest']}, {told['size']} members"
-    click.echo(f"{told['name']}: {told['standing']}, {view}, {lease}")
-    return 0 if told["may_act"] else 1
+    state = _status(console, path)
+    held = f"lease holds for {state['lease_left_s']:.1f} s"
+    lease = held if state["may_act"] else "no lease: it does nothing that is one relay's to do"
+    view = f"view {state['view']} {state['digest']}, {state['size']} members"
+    click.echo(f"{state['name']}: {state['standing']}, {view}, {lease}")
+    return 0 if state["may_act"] else 1
 
 
 @fleet_group.command("members", epilog=STATUS)
 @_options
 def members(console: str | None, path: Path | None) -> int:
     """Print who is in the view, and how each is from here."""
-    for m in _told(console, path)["members"]:
+    for m in _status(console, path)["members"]:
         heard = "" if m["heard_s"] is None else f"heard {m['heard_s']:.1f} s ago"
         where = f"{m['address']:22s} {m['zone'] or '-':12s}"
         click.echo(f"{m['name']:20s} {where} {m['health']:8s} since /{m['since']}  {heard}")
@@ -96,9 +96,9 @@
     Refused while a majority is reached. Only for a majority that will not come back: relays of it that still
     run somewhere go on by themselves, and both sides act.
     """
-    told = _told(console, path)
+    state = _status(console, path)
     if not yes:
-        lost = [m["name"] for m in told["members"] if m["health"] not in ("self", "alive")]
+        lost = [m["name"] for m in state["members"] if m["health"] not in ("self", "alive")]
         click.confirm(f"Are these relays surely stopped: {', '.join(lost) or 'none'}?", abort=True, err=True)
     status, text = ask("PUT", "/fleet/force", console, path)
     click.echo(text.strip())
--- a/violetdoor/faults/explore.py
+++ b/violetdoor/faults/explore.py
@@ -12,10 +12,10 @@
 but chance, and looks at what those promises rest on:
 
 - one change follows a view;
-- a lease under it ends within LEASE of the decision.
+- a lease under it ends within LEASE_DURATION of the decision.
 
-Assumed, and kept by both: clocks differ in rate by less than `lease.DRIFT`, and what a process kept is there
-when it comes back. `assumed=False` drops the first.
+Assumed, and kept by both: clocks differ in rate by less than `lease.MAX_CLOCK_DRIFT`, and what a process
+kept is there when it comes back. `assumed=False` drops the first.
 """
 
 from __future__ import annotations
@@ -28,7 +28,7 @@
 from violetdoor.faults.virtual import Host, World
 from violetdoor.fleet import messages as m
 from violetdoor.fleet.agreement import Agreement
-from violetdoor.fleet.lease import DRIFT, LEASE, Lease
+from violetdoor.fleet.lease import LEASE_DURATION, MAX_CLOCK_DRIFT, Lease
 from violetdoor.fleet.node import Address
 from violetdoor.fleet.view import Change, Peer, View
 
@@ -83,7 +83,9 @@
         self.looked = 0.0
         for name in self.names:
             host = world.host(name)
-            host.rate = 1 + self.random.uniform(-DRIFT, DRIFT) / 2 * (1 if assumed else 20)
+            host.rate = 1 + self.random.uniform(-MAX_CLOCK_DRIFT, MAX_CLOCK_DRIFT) / 2 * (
+                1 if assumed else 20
+            )
             world.start(name, self.names, self.names[:3])
 
     def run(self) -> Broken | None:
@@ -193,9 +195,9 @@
             case "heartbeat" if (lease := self.leases[n]) is not None:
                 lease.frozen = lease.frozen or self.members[n].frozen
                 lease.wake(self.now, True)
-                if (told := lease.told()) is not None:
+                if (round := lease.current_round()) is not None:
                     others = [to for to in range(len(self.members)) if to != n]
-                    self.pending.append((random.choice(others), n, told))
+                    self.pending.append((random.choice(others), n, round))
             case "propose":
                 change = Change(dead=(random.randrange(len(self.members)),))
                 self.members[n].propose(change, self.now)
@@ -204,8 +206,8 @@
                 for one in self.members:
                     one.wake(self.now)
             case "restart":
-                memory = self.members[n].memory
-                self.members[n] = Agreement.of(memory, self.view.members[n].name, random)
+                state = self.members[n].durable_state
+                self.members[n] = Agreement.restore(state, self.view.members[n].name, random)
                 self.leases[n] = None  # its life is over; as an acceptor it goes on
         for source, one in enumerate(self.members):
             self.pending += [(to, source, message) for to, message in one.out]
@@ -227,8 +229,12 @@
             if one.decided is not None and self.decided is not None and one.decided != self.decided[0]:
                 return self._broken("one change", f"{one.decided} after {self.decided[0]}")
         for n, lease in enumerate(self.leases):
-            if lease is not None and self.decided is not None and lease.until > self.decided[1] + LEASE:
-                late = lease.until - self.decided[1] - LEASE
+            if (
+                lease is not None
+                and self.decided is not None
+                and lease.expires_at > self.decided[1] + LEASE_DURATION
+            ):
+                late = lease.expires_at - self.decided[1] - LEASE_DURATION
                 return self._broken("lease", f"n{n}'s ends {late:.3f} s too late")
         return None
 
--- a/violetdoor/faults/links.py
+++ b/violetdoor/faults/links.py
@@ -16,7 +16,7 @@
 
 Address = tuple[str, int]
 
-DATAGRAM_MOST = 64 * 1024
+MAX_DATAGRAM = 64 * 1024
 CHUNK = 64 * 1024
 LOOK = 0.02  # s until a held stream looks again whether it may go on
 RESEND = 0.2  # s that a lost segment of a stream costs
@@ -144,7 +144,7 @@
     def _datagrams(self, link: Link) -> None:
         with contextlib.suppress(OSError):
             while True:
-                data = link.udp.recv(DATAGRAM_MOST)
+                data = link.udp.recv(MAX_DATAGRAM)
                 harm = link.harm
                 if harm.cut or self.random.random() < harm.loss:
                     link.dropped += 1
--- a/violetdoor/faults/virtual.py
+++ b/violetdoor/faults/virtual.py
@@ -42,7 +42,7 @@
     node: Node | None = None
     life: int = 0  # processes that ran here
     stopped: bool = False
-    disk: m.Memory | None = None  # what the last process kept
+    disk: m.DurableState | None = None  # what the last process kept
     held: list[tuple[Any, ...]] = field(default_factory=list)  # what came while it was stopped
     rate: float = 1.0  # of its monotonic clock
     stepped: float = 0.0  # s by which its wall clock is off
@@ -171,7 +171,7 @@
         node = host.node
         if node is None:
             return
-        host.disk = node.memory
+        host.disk = node.durable_state
         datagrams, node.datagrams = node.datagrams, []
         calls, node.calls = node.calls, []
         events, node.events = node.events, []
@@ -187,7 +187,7 @@
             length = len(m.encode(packet)) + SEAL
             self.bytes[host.name] += length + 28  # and the headers of IP and UDP
             self.longest = max(self.longest, length)
-            if length > m.DATAGRAM_MOST:  # as the endpoint does
+            if length > m.MAX_DATAGRAM:  # as the endpoint does
                 return
         to = self.by_address.get(address)
         if to is None:
@@ -235,7 +235,7 @@
     ) -> None:
         answer, back = None, self._way(to.name, host.name)
         if to.life == to_life and to.node is not None and not to.stopped:
-            answer = to.node.asked(request, self.clock(to))
+            answer = to.node.handle_request(request, self.clock(to))
             self._carry_out(to)
         if back is None or self.now + back > until:
             self._push(until, self._answered, host, life, number, None)
@@ -250,7 +250,7 @@
         if host.stopped:
             self._push(self.now + 0.05, self._answered, host, life, number, answer, refused)
             return
-        host.node.answered(number, answer, self.clock(host), refused)
+        host.node.handle_answer(number, answer, self.clock(host), refused)
         self._carry_out(host)
 
     # What is seen of it all.
--- a/violetdoor/fleet/agreement.py
+++ b/violetdoor/fleet/agreement.py
@@ -18,8 +18,8 @@
 from violetdoor.fleet import messages as m
 from violetdoor.fleet.view import Change, View
 
-AGAIN = 0.15  # s until those that did not answer are asked again
-GIVE_UP = 1.0  # s until a proposer begins anew with a higher ballot, and a random part of this
+RETRY_INTERVAL = 0.15  # s until those that did not answer are asked again
+BALLOT_TIMEOUT = 1.0  # s until a proposer begins anew with a higher ballot, and a random part of this
 
 
 @dataclass(slots=True)
@@ -28,7 +28,7 @@
 
     change: Change
     began: float
-    asked: float
+    asked_at: float
     ballot: int = -1
     phase: str = "poll"  # poll, prepare, accept
     voted: set[int] = field(default_factory=set)  # places of members that agreed in this phase
@@ -54,16 +54,16 @@
         self.yields_until = -math.inf  # another proposer is at work
 
     @classmethod
-    def of(cls, memory: m.Memory, me: str, random: Random) -> Agreement:
+    def restore(cls, state: m.DurableState, me: str, random: Random) -> Agreement:
         """Go on with all that was promised before this process."""
-        it = cls(memory.view, me, random)
-        it.promised, it.accepted_in, it.accepted = memory.promised, memory.accepted_in, memory.accepted
+        it = cls(state.view, me, random)
+        it.promised, it.accepted_in, it.accepted = state.promised, state.accepted_in, state.accepted
         return it
 
     @property
-    def memory(self) -> m.Memory:
+    def durable_state(self) -> m.DurableState:
         """What a restart must not forget."""
-        return m.Memory(self.view, self.promised, self.accepted_in, self.accepted)
+        return m.DurableState(self.view, self.promised, self.accepted_in, self.accepted)
 
     @property
     def frozen(self) -> bool:
@@ -73,7 +73,7 @@
     @property
     def due(self) -> float:
         p = self.proposal
-        return math.inf if p is None else min(p.asked + AGAIN, p.until)
+        return math.inf if p is None else min(p.asked_at + RETRY_INTERVAL, p.until)
 
     def propose(self, change: Change, now: float, ended: tuple[int, ...] = ()) -> None:
         """Try to bring a change through; what another has begun is brought through in its place.
@@ -83,7 +83,7 @@
         if self.proposal is not None or self.decided is not None or not change or now < self.yields_until:
             return
         self.polls += 1
-        self.proposal = Proposal(change, now, now, until=now + GIVE_UP, ended=ended)
+        self.proposal = Proposal(change, now, now, until=now + BALLOT_TIMEOUT, ended=ended)
         if change.dead and self.accepted is None:
             self.proposal.voted.add(self.me)
             self._step(now)
@@ -99,7 +99,7 @@
         """Say the phase's question to all that have not answered."""
         p = self.proposal
         assert p is not None
-        p.asked = now
+        p.asked_at = now
         base = self.view.id
         message: m.Message
         if p.phase == "poll":
@@ -129,7 +129,7 @@
         size = len(self.view.members)
         self.round = max(self.round, self.promised // size + 1) if self.promised >= 0 else self.round
         p.ballot, p.voted = self.round * size + self.me, set()
-        p.until = now + GIVE_UP * self.random.uniform(1.0, 2.0)
+        p.until = now + BALLOT_TIMEOUT * self.random.uniform(1.0, 2.0)
         self.round += 1
         if p.ballot == 0:  # no lower ballot can be
             self._accept(now)
@@ -150,8 +150,8 @@
 
     def _decide(self, change: Change) -> None:
         self.decided, self.proposal = change, None
-        told = m.Decided(self.view.id, change)
-        self.out += [(n, told) for n in range(len(self.view.members)) if n != self.me]
+        decided = m.Decided(self.view.id, change)
+        self.out += [(n, decided) for n in range(len(self.view.members)) if n != self.me]
 
     def wake(self, now: float) -> None:
         """Ask again, or give up a ballot that does not come through."""
@@ -160,7 +160,7 @@
         if now >= p.until:
             self.proposal = None
             self.contradicted = p.contradicted
-        elif now >= p.asked + AGAIN:
+        elif now >= p.asked_at + RETRY_INTERVAL:
             self._ask(now)
 
     def receive(self, place: int, message: m.Message, now: float, lives: set[int]) -> None:
@@ -179,21 +179,21 @@
                             self._step(now)
             case m.Prepare(ballot=ballot):
                 if ballot >= self.promised:
-                    self._yield(ballot, now)
+                    self._yield_to(ballot, now)
                     self.promised = ballot
                     self.out.append((place, m.Promise(base, ballot, self.accepted_in, self.accepted)))
                 else:
                     self.out.append((place, m.Refused(base, ballot, self.promised)))
-            case m.Promise(ballot=ballot, accepted=accepted, change=told):
+            case m.Promise(ballot=ballot, accepted=accepted, change=accepted_change):
                 if p is not None and p.phase == "prepare" and ballot == p.ballot:
-                    if told is not None and accepted > p.highest:
-                        p.highest, p.change = accepted, told
+                    if accepted_change is not None and accepted > p.highest:
+                        p.highest, p.change = accepted, accepted_change
                     p.voted.add(place)
                     if len(p.voted) >= self.view.majority:
                         self._step(now)
             case m.Accept(ballot=ballot, change=change):
                 if ballot >= self.promised:
-                    self._yield(ballot, now)
+                    self._yield_to(ballot, now)
                     self.promised = self.accepted_in = ballot
                     self.accepted = change
                     self.out.append((place, m.Accepted(base, ballot)))
@@ -211,11 +211,11 @@
             case m.Decided(change=change):
                 self.decided, self.proposal = change, None
 
-    def _yield(self, ballot: int, now: float) -> None:
+    def _yield_to(self, ballot: int, now: float) -> None:
         """Another proposer has a higher ballot: it is left alone for as long as a ballot may take.
 
         Guards against two proposers that take the ballot from each other for as long as both want something.
         """
-        self.yields_until = now + GIVE_UP * self.random.uniform(1.0, 1.5)
+        self.yields_until = now + BALLOT_TIMEOUT * self.random.uniform(1.0, 1.5)
         if self.proposal is not None and self.proposal.phase != "poll" and ballot > self.proposal.ballot:
             self.proposal = None
--- a/violetdoor/fleet/endpoint.py
+++ b/violetdoor/fleet/endpoint.py
@@ -22,21 +22,21 @@
 
 from violetdoor import events
 from violetdoor.fleet import messages as m
-from violetdoor.fleet.keeper import Keeper
-from violetdoor.fleet.node import Address, Call, Node, Plan, Standing
+from violetdoor.fleet.node import Address, Call, MemberState, Node, Plan
 from violetdoor.fleet.seal import SEAL, Seal
-from violetdoor.fleet.streams import Heard
-from violetdoor.fleet.view import MEMBERS_MOST, View
+from violetdoor.fleet.state_file import StateFile
+from violetdoor.fleet.streams import MessageHandler
+from violetdoor.fleet.view import MAX_MEMBERS, View
 from violetdoor.net.sockets import connect, end, listen
 
 log = logging.getLogger("violetdoor.fleet")
 
-NONCE, LENGTH = 16, 4  # bytes of a side's number, and of a message's length before it
-AT_ONCE = 32  # datagrams read in one round of the loop: others have their turn
-CALLERS_MOST = 64  # calls that are served at a time
-STREAMS_MOST = MEMBERS_MOST + 64  # that come in: one of each member, and some of lives that are over
-SERVE_WITHIN = 1.0  # s that a caller has for its request and its answer
-CHUNK = 64 * 1024
+NONCE_BYTES, LENGTH_BYTES = 16, 4  # bytes of a side's number, and of a message's length before it
+MAX_DATAGRAMS_PER_TURN = 32  # datagrams read in one round of the loop: others have their turn
+MAX_INBOUND_CALLS = 64  # calls that are served at a time
+MAX_INBOUND_STREAMS = MAX_MEMBERS + 64  # that come in: one of each member, and some of lives that are over
+SERVE_TIMEOUT = 1.0  # s that a caller has for its request and its answer
+READ_CHUNK = 64 * 1024
 
 
 def boot_clock() -> float:
@@ -56,35 +56,35 @@
         self.counts: Counter[str] = Counter()
         self.on_view: list[Callable[[View | None], None]] = []
         self.on_change: list[Callable[[str, float | None], None]] = []
-        self.channels: dict[str, Heard] = {}  # who hears messages that come on streams
-        self.on_sharers: Callable[[int | None], None] = lambda count: None
-        self.sharers: int | None = None
+        self.channels: dict[str, MessageHandler] = {}  # who hears messages that come on streams
+        self.on_active_relays: Callable[[int | None], None] = lambda count: None
+        self.active_relays: int | None = None
         self.loop = asyncio.get_running_loop()
-        self.buffer = bytearray(m.DATAGRAM_MOST + 1)
+        self.buffer = bytearray(m.MAX_DATAGRAM + 1)
         self.timer: asyncio.TimerHandle | None = None
         self.tasks: set[asyncio.Task[None]] = set()
-        self.callers = self.streams_in = 0
+        self.inbound_calls = self.inbound_streams = 0
         # What waits until that is kept on which it rests.
-        self.held: list[tuple[list[tuple[Address, m.Packet]], list[Call]]] = []
-        self.keeping = False
+        self.deferred: list[tuple[list[tuple[Address, m.Packet]], list[Call]]] = []
+        self.writing = False
         self.open = False
-        self.entered = asyncio.Event()
-        self.was_clear = True
-        self.refused = ""
-        self.keeper: Keeper | None = None
-        self.kept: m.Memory | None = None
+        self.joined = asyncio.Event()
+        self.had_no_prior_leases = True
+        self.last_refusal = ""
+        self.state_file: StateFile | None = None
+        self.written_state: m.DurableState | None = None
         self.address = bind
         self.node = self._node(None)
 
-    def _node(self, memory: m.Memory | None) -> Node:
+    def _node(self, memory: m.DurableState | None) -> Node:
         node = Node(
             self.plan, random.Random(os.urandom(16)), self.clock(), lambda: time.time() * 1000, memory
         )
-        node.map.changed = self._changed
+        node.map.changed = self._notify_change
         return node
 
-    def begin(
-        self, handed: m.Handed | None = None,
+    def start(
+        self, handover: m.HandoverState | None = None,
         udp: socket.socket | None = None, tcp: socket.socket | None = None,
     ) -> None:  # fmt: skip
         """Open the file and the sockets, and go on as the process before this one, or as what is remembered.
@@ -93,30 +93,30 @@
         that calls was refused, which it would take for this one's death. Raises StateFaultError or OSError,
         with nothing left open but those.
         """
-        keeper = Keeper(self.state) if self.state is not None else None
+        state_file = StateFile(self.state) if self.state is not None else None
         try:
-            memory = keeper.read() if keeper is not None else None
+            memory = state_file.read() if state_file is not None else None
             if udp is not None and tcp is not None:
                 self.udp, self.tcp = udp, tcp
             else:
                 self._bind()
         except BaseException:
-            if keeper is not None:
-                keeper.close()
+            if state_file is not None:
+                state_file.close()
             raise
         self.address = self.tcp.getsockname()[:2]
-        self.keeper, self.kept, self.open = keeper, memory, True
-        if handed is not None:
+        self.state_file, self.written_state, self.open = state_file, memory, True
+        if handover is not None:
             self.node = self._node(None)
-            self.node.take(handed, self.clock())
+            self.node.import_state(handover, self.clock())
         else:
             self.node = self._node(memory)
-        self.loop.add_reader(self.udp, self._datagrams)
+        self.loop.add_reader(self.udp, self._read_datagrams)
         self._spawn(self._accept())
-        self._carry_out()
+        self._flush_actions()
         if self.view is not None:
-            self.entered.set()
-            self._seen(self.view)
+            self.joined.set()
+            self._notify_view(self.view)
 
     def _bind(self) -> None:
         family = socket.AF_INET6 if ":" in self.bind[0] else socket.AF_INET
@@ -134,7 +134,7 @@
     @property
     def view(self) -> View | None:
         """The view that this relay stands at."""
-        return self.node.view if self.node.standing is Standing.MEMBER else None
+        return self.node.view if self.node.state is MemberState.MEMBER else None
 
     def may_act(self) -> bool:
         """Whether this relay's lease holds at this moment."""
@@ -149,29 +149,29 @@
         if not self.open:
             return True  # the process that goes on as this member heard of it by the upgrade's talk
         took = self.node.put(key, value, self.clock())
-        self._carry_out()
+        self._flush_actions()
         return took
 
     def force(self) -> str:
         """Go on without a majority; why not, or nothing."""
         why = self.node.force(self.clock())
-        self._carry_out()
+        self._flush_actions()
         return why
 
     def leave(self) -> None:
         """Go by this relay's own word."""
         self.node.leave(self.clock())
-        self._carry_out()  # which tells that nobody knows any more how many share the servers
-        self._seen(None)
+        self._flush_actions()  # which tells that nobody knows any more how many share the servers
+        self._notify_view(None)
 
     async def ready(self, within: float) -> bool:
         """Wait until this relay stands in a view and has the shared map; False if that takes too long."""
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(within):
-                await self.entered.wait()
-        return self.entered.is_set()
+                await self.joined.wait()
+        return self.joined.is_set()
 
-    def told(self) -> dict[str, Any]:
+    def status(self) -> dict[str, Any]:
         """All that operators may want to know."""
         node, now = self.node, self.clock()
         view, detector = node.view, node.detector
@@ -179,19 +179,19 @@
             {
                 "name": p.name, "address": f"{p.host}:{p.port}", "zone": p.zone, "since": p.since,
                 "health": "self" if p.name == self.plan.name else _health(node, p.name),
-                "heard_s": _age(now, detector.watched[p.name].heard) if p.name in detector.watched else 0.0,
+                "heard_s": _age(now, watched.heard_at) if (watched := detector.watched.get(p.name)) else 0.0,
             }
             for p in view.members
         ]  # fmt: skip
         return {
-            "name": self.plan.name, "standing": node.standing.value,
+            "name": self.plan.name, "standing": node.state.value,
             "view": None if view is None else str(view.id), "digest": None if view is None else view.digest,
             "size": 0 if view is None else len(view.members),
             "majority": 0 if view is None else view.majority,
             "may_act": node.may_act(now),
-            "lease_left_s": 0.0 if node.lease is None else round(max(0.0, node.lease.until - now), 3),
-            "clear": node.cleared(now), "own_health": detector.score, "members": members,
-            "pending": sorted(node.pending),
+            "lease_left_s": 0.0 if node.lease is None else round(max(0.0, node.lease.expires_at - now), 3),
+            "clear": node.prior_leases_expired(now), "own_health": detector.health_score, "members": members,
+            "pending": sorted(node.join_requests),
             "shared": len(node.map.entries), "map": f"{node.map.digest:016x}",
             "counts": dict(self.counts) | {f"dropped {k}": v for k, v in node.dropped.items() if v},
         }  # fmt: skip
@@ -200,7 +200,7 @@
 
     async def close(self) -> None:
         """Leave the fleet, if that was not done, and close all sockets."""
-        if self.open and self.node.standing is not Standing.LEFT:
+        if self.open and self.node.state is not MemberState.LEFT:
             self.leave()
         self.stop()
         await asyncio.gather(*self.tasks, return_exceptions=True)
@@ -215,26 +215,26 @@
             self.timer.cancel()
         for task in list(self.tasks):
             task.cancel()
-        self.held.clear()
+        self.deferred.clear()
         self.udp.close()
         self.tcp.close()
-        if self.keeper is not None:
-            self.keeper.close()
+        if self.state_file is not None:
+            self.state_file.close()
 
-    def hand_over(self) -> m.Handed | None:
+    def hand_over(self) -> m.HandoverState | None:
         """Stop, and give the process that goes on as this member all that it is; nothing if there is none."""
         if not self.open:
             return None
-        handed = self.node.give()
+        handover = self.node.export_state()
         self.stop()
-        return handed
+        return handover
 
     def _spawn(self, what: Any) -> None:
         task = self.loop.create_task(what)
         self.tasks.add(task)
-        task.add_done_callback(self._over)
+        task.add_done_callback(self._task_done)
 
-    def _over(self, task: asyncio.Task[None]) -> None:
+    def _task_done(self, task: asyncio.Task[None]) -> None:
         self.tasks.discard(task)
         if not task.cancelled() and (err := task.exception()) is not None:
             self.counts["faults"] += 1
@@ -244,83 +244,83 @@
 
     def _wake(self) -> None:
         self.node.wake(self.clock())
-        self._carry_out()
+        self._flush_actions()
 
-    def _carry_out(self) -> None:
+    def _flush_actions(self) -> None:
         """Keep, send, call and tell what the node wants, and plan its next waking."""
         if not self.open:
             return
         node = self.node
         out = node.datagrams, node.calls
         node.datagrams, node.calls = [], []
-        if self.keeper is not None and (self.keeping or node.memory is not self.kept):
+        if self.state_file is not None and (self.writing or node.durable_state is not self.written_state):
             # A promise is kept before it is given: guards against a restart that forgets it.
-            self.held.append(out)
-            if not self.keeping:
-                self.keeping = True
-                self._spawn(self._keep())
+            self.deferred.append(out)
+            if not self.writing:
+                self.writing = True
+                self._spawn(self._write_state())
         else:
             self._send_out(*out)
         told, node.events = node.events, []
         for event in told:
-            self._tell(event.name, event.values)
-        if (sharers := node.sharers()) != self.sharers:
-            self.sharers = sharers
-            self.on_sharers(sharers)
-        clear = node.cleared(self.clock())
-        if clear and not self.was_clear and node.view is not None:
+            self._emit(event.name, event.values)
+        if (active_relays := node.active_relays()) != self.active_relays:
+            self.active_relays = active_relays
+            self.on_active_relays(active_relays)
+        clear = node.prior_leases_expired(self.clock())
+        if clear and not self.had_no_prior_leases and node.view is not None:
             events.tell(log, events.FLEET_CLEAR, view=str(node.view.id))
-        self.was_clear = clear
+        self.had_no_prior_leases = clear
         if self.timer is not None:
             self.timer.cancel()
         wait = min(60.0, max(0.0, node.due - self.clock()))
         self.timer = self.loop.call_later(wait, self._wake)
 
-    def _tell(self, name: str, values: dict[str, Any]) -> None:
+    def _emit(self, name: str, values: dict[str, Any]) -> None:
         if name == events.FLEET_REFUSED:
-            if values["why"] == self.refused:
+            if values["why"] == self.last_refusal:
                 return
-            self.refused = values["why"]
+            self.last_refusal = values["why"]
         self.counts[name] += 1
         events.tell(log, name, at=round(self.clock(), 3), **values)
         if name == events.FLEET_VIEW:
-            self.refused = ""
-            self.entered.set()
-            self._seen(self.node.view)
+            self.last_refusal = ""
+            self.joined.set()
+            self._notify_view(self.node.view)
         elif name == events.FLEET_REMOVED:
-            self._seen(None)
+            self._notify_view(None)
 
-    def _seen(self, view: View | None) -> None:
+    def _notify_view(self, view: View | None) -> None:
         for heard in self.on_view:
             heard(view)
 
-    def _changed(self, key: str, value: float | None) -> None:
+    def _notify_change(self, key: str, value: float | None) -> None:
         for heard in self.on_change:
             heard(key, value)
 
-    async def _keep(self) -> None:
-        assert self.keeper is not None
+    async def _write_state(self) -> None:
+        assert self.state_file is not None
         try:
-            while self.node.memory is not self.kept and self.node.memory is not None:
-                memory = self.node.memory
-                await asyncio.to_thread(self.keeper.write, memory)
-                self.kept = memory
+            while self.node.durable_state is not self.written_state and self.node.durable_state is not None:
+                memory = self.node.durable_state
+                await asyncio.to_thread(self.state_file.write, memory)
+                self.written_state = memory
         except OSError as err:
             # Guards against promises that nothing holds: this relay goes on without deciding.
             log.error("what must not be forgotten can't be kept, this relay leaves the fleet: %s", err)
-            self.held.clear()
+            self.deferred.clear()
             self.leave()
             return
         finally:
-            self.keeping = False
-        held, self.held = self.held, []
+            self.writing = False
+        held, self.deferred = self.deferred, []
         for out in held:
             self._send_out(*out)
 
     def _send_out(self, datagrams: list[tuple[Address, m.Packet]], calls: list[Call]) -> None:
         for address, packet in datagrams:
             data = self.seal.put(m.encode(packet))
-            if len(data) > m.DATAGRAM_MOST:
+            if len(data) > m.MAX_DATAGRAM:
                 self.counts["too_long"] += 1
                 continue
             try:
@@ -334,21 +334,21 @@
 
     # Datagrams.
 
-    def _datagrams(self) -> None:
-        for _ in range(AT_ONCE):
+    def _read_datagrams(self) -> None:
+        for _ in range(MAX_DATAGRAMS_PER_TURN):
             try:
                 length, source = self.udp.recvfrom_into(self.buffer)
             except (BlockingIOError, InterruptedError):
                 break
             except OSError:  # a port that nobody listens at was written to
                 continue
-            self._datagram(memoryview(self.buffer)[:length], source[:2])
-        self._carry_out()
+            self._receive_datagram(memoryview(self.buffer)[:length], source[:2])
+        self._flush_actions()
 
-    def _datagram(self, data: memoryview, source: Address) -> None:
+    def _receive_datagram(self, data: memoryview, source: Address) -> None:
         self.counts["datagrams_in"] += 1
         self.counts["bytes_in"] += len(data)
-        if len(data) > m.DATAGRAM_MOST or (body := self.seal.off(data)) is None:
+        if len(data) > m.MAX_DATAGRAM or (body := self.seal.off(data)) is None:
             self.counts["dropped_seal"] += 1
             return
         try:
@@ -375,8 +375,8 @@
             pass
         if self.open:
             self.counts["calls_failed"] += answer is None
-            self.node.answered(call.number, answer, self.clock(), refused)
-            self._carry_out()
+            self.node.handle_answer(call.number, answer, self.clock(), refused)
+            self._flush_actions()
 
     async def _exchange(self, call: Call) -> m.Answer:
         sock = await connect(self._routed(call.address), call.within)
@@ -388,11 +388,11 @@
 
     async def begin_call(self, sock: socket.socket, request: m.Request) -> tuple[bytes, m.Answer]:
         """Say a request on a fresh connection; its two numbers, which bind what follows, and the answer."""
-        mine = os.urandom(NONCE)
+        mine = os.urandom(NONCE_BYTES)
         await self.loop.sock_sendall(sock, mine)
-        both = mine + await self._exactly(sock, NONCE)
-        await self._say(sock, m.encode(request), b"asked" + both)
-        return both, m.answers.decode(await self._heard(sock, b"answered" + both))
+        both = mine + await self._read_exactly(sock, NONCE_BYTES)
+        await self._send_frame(sock, m.encode(request), b"asked" + both)
+        return both, m.answers.decode(await self._read_frame(sock, b"answered" + both))
 
     def _routed(self, address: Address) -> Address:
         """Where an address is reached from here: that of a relay that has a route."""
@@ -410,31 +410,31 @@
                 log.warning("accept failed: %s", err)
                 await asyncio.sleep(0.05)
                 continue
-            if self.callers >= CALLERS_MOST or self.streams_in >= STREAMS_MOST:
+            if self.inbound_calls >= MAX_INBOUND_CALLS or self.inbound_streams >= MAX_INBOUND_STREAMS:
                 self.counts["calls_turned_away"] += 1
                 sock.close()
                 continue
-            self.callers += 1
+            self.inbound_calls += 1
             self._spawn(self._serve(sock))
 
     async def _serve(self, sock: socket.socket) -> None:
         try:
             sock.setblocking(False)
-            async with asyncio.timeout(SERVE_WITHIN):
-                mine = os.urandom(NONCE)
-                theirs = await self._exactly(sock, NONCE)
+            async with asyncio.timeout(SERVE_TIMEOUT):
+                mine = os.urandom(NONCE_BYTES)
+                theirs = await self._read_exactly(sock, NONCE_BYTES)
                 await self.loop.sock_sendall(sock, mine)
                 both = theirs + mine
-                request = m.requests.decode(await self._heard(sock, b"asked" + both))
+                request = m.requests.decode(await self._read_frame(sock, b"asked" + both))
                 answer: m.Answer | None
                 if isinstance(request, m.OpenStream):
                     heard = self.channels.get(request.channel)
                     answer = m.Alive(self.node.me.instance) if heard is not None else None
                 else:
-                    answer = self.node.asked(request, self.clock())
-                    self._carry_out()
+                    answer = self.node.handle_request(request, self.clock())
+                    self._flush_actions()
                 if answer is not None:
-                    await self._say(sock, m.encode(answer), b"answered" + both)
+                    await self._send_frame(sock, m.encode(answer), b"answered" + both)
             if isinstance(request, m.OpenStream) and heard is not None:
                 await self._stream(sock, request, both, heard)
         except ValueError:  # msgspec's faults are such, too
@@ -442,53 +442,55 @@
         except (OSError, EOFError):
             self.counts["calls_broke"] += 1
         finally:
-            self.callers -= 1
+            self.inbound_calls -= 1
             end(sock)
 
-    async def _stream(self, sock: socket.socket, opening: m.OpenStream, both: bytes, heard: Heard) -> None:
+    async def _stream(
+        self, sock: socket.socket, opening: m.OpenStream, both: bytes, heard: MessageHandler
+    ) -> None:
         """Hand a stream's messages on until it ends."""
-        self.callers -= 1  # it is no caller that goes soon: streams are bounded by the members
-        self.streams_in += 1
+        self.inbound_calls -= 1  # it is no caller that goes soon: streams are bounded by the members
+        self.inbound_streams += 1
         buffer, count = bytearray(), 0
         try:
-            while data := await self.loop.sock_recv(sock, CHUNK):
+            while data := await self.loop.sock_recv(sock, READ_CHUNK):
                 buffer += data
                 start = 0
-                while len(buffer) - start >= LENGTH:
-                    length = int.from_bytes(buffer[start : start + LENGTH], "big")
-                    if not SEAL < length <= m.FRAME_MOST:
+                while len(buffer) - start >= LENGTH_BYTES:
+                    length = int.from_bytes(buffer[start : start + LENGTH_BYTES], "big")
+                    if not SEAL < length <= m.MAX_FRAME:
                         raise ValueError("a length that no message has")
-                    if len(buffer) - start < LENGTH + length:
+                    if len(buffer) - start < LENGTH_BYTES + length:
                         break
-                    sealed = memoryview(buffer)[start + LENGTH : start + LENGTH + length]
+                    sealed = memoryview(buffer)[start + LENGTH_BYTES : start + LENGTH_BYTES + length]
                     body = self.seal.off(sealed, b"stream" + both + count.to_bytes(8, "big"))
                     sealed.release()
                     if body is None:
                         raise ValueError("a seal that is not this fleet's")
-                    start, count = start + LENGTH + length, count + 1
+                    start, count = start + LENGTH_BYTES + length, count + 1
                     heard(opening.name, opening.instance, body)
                 del buffer[:start]
         finally:
-            self.callers += 1
-            self.streams_in -= 1
+            self.inbound_calls += 1
+            self.inbound_streams -= 1
 
-    async def _say(self, sock: socket.socket, body: bytes, context: bytes) -> None:
+    async def _send_frame(self, sock: socket.socket, body: bytes, context: bytes) -> None:
         data = self.seal.put(body, context)
-        await self.loop.sock_sendall(sock, len(data).to_bytes(LENGTH, "big") + data)
+        await self.loop.sock_sendall(sock, len(data).to_bytes(LENGTH_BYTES, "big") + data)
 
-    async def _heard(self, sock: socket.socket, context: bytes) -> bytes:
-        length = int.from_bytes(await self._exactly(sock, LENGTH), "big")
-        if not SEAL < length <= m.FRAME_MOST:
+    async def _read_frame(self, sock: socket.socket, context: bytes) -> bytes:
+        length = int.from_bytes(await self._read_exactly(sock, LENGTH_BYTES), "big")
+        if not SEAL < length <= m.MAX_FRAME:
             raise ValueError("a length that no message has")
-        body = self.seal.off(await self._exactly(sock, length), context)
+        body = self.seal.off(await self._read_exactly(sock, length), context)
         if body is None:
             raise ValueError("a seal that is not this fleet's")
         return body
 
-    async def _exactly(self, sock: socket.socket, count: int) -> bytes:
+    async def _read_exactly(self, sock: socket.socket, count: int) -> bytes:
         data = bytearray()
         while len(data) < count:
-            got = await self.loop.sock_recv(sock, min(CHUNK, count - len(data)))
+            got = await self.loop.sock_recv(sock, min(READ_CHUNK, count - len(data)))
             if not got:
                 raise EOFError
             data += got
@@ -497,7 +499,7 @@
 
 def _health(node: Node, name: str) -> str:
     watched = node.detector.watched.get(name)
-    return "ended" if name in node.ended else "unknown" if watched is None else watched.health.value
+    return "ended" if name in node.ended_members else "unknown" if watched is None else watched.health.value
 
 
 def _age(now: float, at: float) -> float | None:
--- a/violetdoor/fleet/messages.py
+++ b/violetdoor/fleet/messages.py
@@ -15,15 +15,15 @@
 from violetdoor.fleet.view import Change, Peer, View, ViewId
 
 VERSION, OLDEST = 2, 1  # spoken; still understood
-DATAGRAM_MOST = 4096  # bytes of a packet with its seal
-FRAME_MOST = 1 << 20  # bytes of one message over TCP: a view of 1,024 members and a full shared map
-RUMORS_MOST = 8  # in one packet
-NEWS_MOST = 8  # entries of the shared map in one packet
+MAX_DATAGRAM = 4096  # bytes of a packet with its seal
+MAX_FRAME = 1 << 20  # bytes of one message over TCP: a view of 1,024 members and a full shared map
+MAX_RUMORS = 8  # in one packet
+MAX_NEWS = 8  # entries of the shared map in one packet
 
-BULK = 1024  # bytes of messages from which on a packet carries no rumors and no news
-CHANGE_MOST = 2800  # bytes of a change, so that the packet that tells of it stays under its most
+BULKY_MESSAGES = 1024  # bytes of messages from which on a packet carries no rumors and no news
+MAX_CHANGE = 2800  # bytes of a change, so that the packet that tells of it stays under its most
 
-ALIVE, SUSPECT, OVER = 0, 1, 2
+ALIVE, SUSPECT, CONFIRMED_DEAD = 0, 1, 2
 
 
 class Rumor(Struct, frozen=True, array_like=True):
@@ -282,14 +282,14 @@
 class FoundVote(Struct, frozen=True, array_like=True, tag=5):
     """Whether I would."""
 
-    line: int
+    epoch: int
     yes: bool
 
 
 Answer = State | Refusal | Fresh | Alive | FoundVote
 
 
-class Memory(Struct, frozen=True, array_like=True):
+class DurableState(Struct, frozen=True, array_like=True):
     """What a relay must not forget when it restarts: where it stood, and what it has promised there."""
 
     view: View
@@ -298,49 +298,49 @@
     accepted: Change | None = None
 
 
-class HeldLease(Struct, frozen=True, array_like=True):
+class LeaseState(Struct, frozen=True, array_like=True):
     """Where a relay stands in its view's heartbeats; times of the machine's clock."""
 
-    until: float
-    after: float
+    expires_at: float
+    not_before: float
     frozen: bool
     number: int
     starter: int
     joined: bytes
     before: bytes
     joins: tuple[tuple[int, float], ...]
-    seen: float
+    round_seen_at: float
 
 
-class Handed(Struct, frozen=True, array_like=True):
+class HandoverState(Struct, frozen=True, array_like=True):
     """All that makes a relay the member that it is, for the process that goes on as it on this machine."""
 
     process: int
     me: Peer
-    standing: str
+    state: str
     started: float
-    memory: Memory | None
-    newest: View | None
-    line: int
-    seen: int
-    lease: HeldLease | None
-    last_joined: float
-    unclear: tuple[tuple[View | None, float], ...]
+    durable_state: DurableState | None
+    latest_view: View | None
+    last_epoch: int
+    last_seq: int
+    lease: LeaseState | None
+    last_heartbeat: float
+    prior_views: tuple[tuple[View | None, float], ...]
     live: bool
     incarnation: int
-    count: int
+    packet_count: int
     entries: tuple[Entry, ...]
     clock: Stamp
-    windows: tuple[tuple[str, int, int], ...]
-    moves: tuple[tuple[str, int, float], ...]
-    gone: tuple[int, ...]
-    reached: tuple[tuple[str, ViewId], ...]
-    ended: tuple[str, ...]
-    leavers: tuple[str, ...]
+    replay_windows: tuple[tuple[str, int, int], ...]
+    readmissions: tuple[tuple[str, int, float], ...]
+    left_instances: tuple[int, ...]
+    reported_views: tuple[tuple[str, ViewId], ...]
+    ended_members: tuple[str, ...]
+    leaving: tuple[str, ...]
 
 
-handeds = msgspec.msgpack.Decoder(Handed)
-memories = msgspec.msgpack.Decoder(Memory)
+handover_states = msgspec.msgpack.Decoder(HandoverState)
+durable_states = msgspec.msgpack.Decoder(DurableState)
 
 packets = msgspec.msgpack.Decoder(Packet)
 requests = msgspec.msgpack.Decoder(Request)
--- a/violetdoor/fleet/seal.py
+++ b/violetdoor/fleet/seal.py
@@ -13,10 +13,10 @@
 
 SEAL = 16  # bytes of the hash: BLAKE2b, keyed
 WINDOW = 1024  # packets of one sender by which one may come late; it sends some tens a second
-KEY_LEAST, KEY_MOST = 16, 64  # bytes; BLAKE2b takes 64
+MIN_KEY, MAX_KEY = 16, 64  # bytes; BLAKE2b takes 64
 
 
-class KeyFaultError(Exception):
+class KeyFileError(Exception):
     """The key's file can't serve; the text says why."""
 
 
@@ -25,9 +25,9 @@
     try:
         key = path.read_bytes().strip()
     except OSError as err:
-        raise KeyFaultError(f"{path}: {err.strerror}") from err
-    if not KEY_LEAST <= len(key) <= KEY_MOST:
-        raise KeyFaultError(f"{path}: found {len(key)} bytes, expected a key of {KEY_LEAST} to {KEY_MOST}")
+        raise KeyFileError(f"{path}: {err.strerror}") from err
+    if not MIN_KEY <= len(key) <= MAX_KEY:
+        raise KeyFileError(f"{path}: found {len(key)} bytes, expected a key of {MIN_KEY} to {MAX_KEY}")
     return key
 
 
--- a/violetdoor/fleet/service.py
+++ b/violetdoor/fleet/service.py
@@ -16,10 +16,10 @@
 from violetdoor.config import ConfigError
 from violetdoor.console.server import Answer
 from violetdoor.fleet.endpoint import Fleet
-from violetdoor.fleet.keeper import StateFaultError
-from violetdoor.fleet.messages import Handed, encode, handeds
+from violetdoor.fleet.messages import HandoverState, encode, handover_states
 from violetdoor.fleet.node import Plan
-from violetdoor.fleet.seal import KeyFaultError, read_key
+from violetdoor.fleet.seal import KeyFileError, read_key
+from violetdoor.fleet.state_file import StateFileError
 from violetdoor.maintenance.service import Maintenance
 from violetdoor.net.sockets import parse_address
 from violetdoor.services import Host, Message, Service
@@ -28,11 +28,11 @@
 log = logging.getLogger("violetdoor")
 
 BAN, DRAIN = "ban", "drain"  # kinds of the shared map's keys
-DRAIN_FOR = 30_000.0  # ms for which a server's own word that it drains is believed; the core's figure
-HANDED_WITHIN = (
+DRAIN_TTL = 30_000.0  # ms for which a server's own word that it drains is believed; the core's figure
+HANDOVER_TIMEOUT = (
     2.0  # s that a predecessor has to say what it is in the fleet, once this process takes clients
 )
-BEGIN_AGAIN = 0.2  # s until the fleet's sockets are opened again, where the other process may still hold them
+START_RETRY = 0.2  # s until the fleet's sockets are opened again, where the other process may still hold them
 
 
 class FleetService(Service):
@@ -46,8 +46,8 @@
         self.waiting: asyncio.TimerHandle | None = None
         self.fleet = self._begin(options)
         self.maintenance = next(one for one in host.services if isinstance(one, Maintenance))
-        self.maintenance.on_change.append(self._by_hand)
-        self.core.on_drain = self._drains
+        self.maintenance.on_change.append(self._share_ban)
+        self.core.on_drain = self._share_drain
 
     def _begin(self, options: Options) -> Fleet:
         bind, config = parse_address(options.listen), self.host.config
@@ -57,21 +57,21 @@
         routes = {name: parse_address(to) for name, to in options.routes.items()}
         try:
             key = read_key(Path(options.key))
-        except KeyFaultError as err:
+        except KeyFileError as err:
             raise ConfigError(str(err)) from err
         fleet = Fleet(plan, bind, key, Path(options.state) if options.state else None, routes)
-        fleet.on_sharers = self.core.relays
-        fleet.on_change.append(self._shared)
+        fleet.on_active_relays = self.core.relays
+        fleet.on_change.append(self._apply_shared)
         return fleet
 
     async def start(self) -> None:
         if self.host.inherited is not None:
             # The process before this one is the member until it says that it takes no more clients.
-            self.waiting = asyncio.get_running_loop().call_later(HANDED_WITHIN, self._go_on, None)
+            self.waiting = asyncio.get_running_loop().call_later(HANDOVER_TIMEOUT, self._take_over, None)
             return
         try:
-            self.fleet.begin()
-        except StateFaultError as err:
+            self.fleet.start()
+        except StateFileError as err:
             raise ConfigError(str(err)) from err
         log.info("fleet at %s:%d as %s", *self.fleet.address, self.fleet.plan.name)
         # A client that is taken before would be placed without what the others know of servers.
@@ -87,17 +87,17 @@
         return {"fleet-udp": self.fleet.udp, "fleet-tcp": self.fleet.tcp} if self.fleet.open else {}
 
     def succeeded(self) -> None:
-        if (handed := self.fleet.hand_over()) is not None:
-            self.host.tell({"fleet": base64.b85encode(encode(handed)).decode()})
+        if (handover := self.fleet.hand_over()) is not None:
+            self.host.tell({"fleet": base64.b85encode(encode(handover)).decode()})
 
     def told(self, message: Message) -> None:
         if isinstance(text := message.get("fleet"), str):
-            self._go_on(handeds.decode(base64.b85decode(text)))
+            self._take_over(handover_states.decode(base64.b85decode(text)))
 
     def orphaned(self) -> None:
-        self._go_on(None)
+        self._take_over(None)
 
-    def _go_on(self, handed: Handed | None) -> None:
+    def _take_over(self, handover: HandoverState | None) -> None:
         """Be the member from now on: as the other process was, or as what is remembered."""
         if self.waiting is not None:
             self.waiting.cancel()
@@ -106,28 +106,28 @@
             return
         shared = self.host.inherited_sockets
         try:
-            self.fleet.begin(handed, shared.pop("fleet-udp", None), shared.pop("fleet-tcp", None))
-        except (StateFaultError, OSError) as err:
+            self.fleet.start(handover, shared.pop("fleet-udp", None), shared.pop("fleet-tcp", None))
+        except (StateFileError, OSError) as err:
             log.error("this relay can't go on in its fleet, tried again: %s", err)
-            self.waiting = asyncio.get_running_loop().call_later(BEGIN_AGAIN, self._go_on, handed)
+            self.waiting = asyncio.get_running_loop().call_later(START_RETRY, self._take_over, handover)
 
     # What the view is used for.
 
-    def _by_hand(self, server: str, since: float | None) -> None:
+    def _share_ban(self, server: str, since: float | None) -> None:
         if not self.fleet.put(f"{BAN}:{server}", since):
             log.error("the fleet's shared map is full: only this relay knows of %s", server)
 
-    def _drains(self, server: str) -> None:
+    def _share_drain(self, server: str) -> None:
         self.fleet.put(f"{DRAIN}:{server}", time.time() * 1000)
 
-    def _shared(self, key: str, value: float | None) -> None:
+    def _apply_shared(self, key: str, value: float | None) -> None:
         """Do as another relay did."""
         kind, _, server = key.partition(":")
         if kind == BAN and value is None:
             self.maintenance.put_back(server)
         elif kind == BAN and server not in self.core.bans:
             self.maintenance.leave_out(server, value, known=False)
-        elif kind == DRAIN and value is not None and time.time() * 1000 < value + DRAIN_FOR:
+        elif kind == DRAIN and value is not None and time.time() * 1000 < value + DRAIN_TTL:
             self.core.drains(server, told=True)
 
     # Operators.
@@ -143,8 +143,8 @@
             return None
         match method, path[1:]:
             case "GET", []:
-                told = orjson.dumps(self.fleet.told(), option=orjson.OPT_INDENT_2)
-                return HTTPStatus.OK, told.decode() + "\n"
+                status = orjson.dumps(self.fleet.status(), option=orjson.OPT_INDENT_2)
+                return HTTPStatus.OK, status.decode() + "\n"
             case "GET", ["owns", key]:
                 view = self.fleet.view
                 if view is not None and self.fleet.owns(key):
--- a/violetdoor/fleet/shared.py
+++ b/violetdoor/fleet/shared.py
@@ -12,13 +12,13 @@
 import msgspec
 import xxhash
 
-from violetdoor.fleet.messages import NEWS_MOST, Entry, Stamp
+from violetdoor.fleet.messages import MAX_NEWS, Entry, Stamp
 from violetdoor.fleet.seal import spread
 
 # some tens of servers are out at a time; over this the oldest tombstones go, then nothing new
-ENTRIES_MOST = 4096
+MAX_ENTRIES = 4096
 TOMBSTONE_MS = 3_600_000.0  # for which a value taken back is remembered
-RETELL = 3  # times the spread that an entry is told on
+ENTRY_RETRANSMITS = 3  # times the spread that an entry is told on
 
 
 class Clock:
@@ -65,43 +65,43 @@
 
     def put(self, key: str, value: float | None, unix_ms: float, members: int) -> bool:
         """Set a value here, now; False where the map is full."""
-        return self._take(Entry(key, self.clock.stamp(unix_ms), value), unix_ms, members)
+        return self._apply(Entry(key, self.clock.stamp(unix_ms), value), unix_ms, members)
 
     def merge(self, entries: Iterable[Entry], unix_ms: float, members: int) -> int:
         """Take in what another relay holds; how many values were newer than here."""
         newer = 0
         for entry in entries:
             self.clock.seen(entry.stamp)
-            newer += self._take(entry, unix_ms, members)
+            newer += self._apply(entry, unix_ms, members)
         return newer
 
-    def _take(self, entry: Entry, unix_ms: float, members: int) -> bool:
+    def _apply(self, entry: Entry, unix_ms: float, members: int) -> bool:
         old = self.entries.get(entry.key)
         if old is not None and old.stamp >= entry.stamp:
             return False
-        if old is None and len(self.entries) >= ENTRIES_MOST and not self._forget(unix_ms):
+        if old is None and len(self.entries) >= MAX_ENTRIES and not self._drop_old_tombstones(unix_ms):
             self.refused += 1
             return False
         if old is not None:
             self.digest ^= _digest(old)
         self.entries[entry.key] = entry
         self.digest ^= _digest(entry)
-        self.news[entry.key] = RETELL * spread(members)
+        self.news[entry.key] = ENTRY_RETRANSMITS * spread(members)
         if old is None or old.value != entry.value:
             self.changed(entry.key, entry.value)
         return True
 
-    def _forget(self, unix_ms: float) -> bool:
+    def _drop_old_tombstones(self, unix_ms: float) -> bool:
         """Drop tombstones that are old enough; whether there is room now."""
         for key, entry in list(self.entries.items()):
             if entry.value is None and entry.stamp.ms < unix_ms - TOMBSTONE_MS:
                 self.digest ^= _digest(self.entries.pop(key))
-        return len(self.entries) < ENTRIES_MOST
+        return len(self.entries) < MAX_ENTRIES
 
     def pick_news(self) -> tuple[Entry, ...]:
         """What to tell with the next packet: the least told first."""
         picked = []
-        for key, left in sorted(self.news.items(), key=lambda one: -one[1])[:NEWS_MOST]:
+        for key, left in sorted(self.news.items(), key=lambda one: -one[1])[:MAX_NEWS]:
             if left <= 1:
                 del self.news[key]
             else:
--- a/violetdoor/fleet/keeper.py
+++ b/violetdoor/fleet/state_file.py
@@ -17,16 +17,16 @@
 
 from violetdoor.fleet import messages as m
 
-SLOT = 256 * 1024  # bytes; a view of 1,024 members with long names has some 100 KB, and a change less
+SLOT_BYTES = 256 * 1024  # bytes; a view of 1,024 members with long names has some 100 KB, and a change less
 HEAD = struct.Struct("<4sQI16s")  # magic, count, length, hash
 MAGIC = b"vdf1"
 
 
-class StateFaultError(Exception):
+class StateFileError(Exception):
     """The file can't serve; the text says why."""
 
 
-class Keeper:
+class StateFile:
     """The file, from its first to its last use by this process."""
 
     def __init__(self, path: Path) -> None:
@@ -34,39 +34,44 @@
         try:
             self.file = os.open(path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
             fcntl.flock(self.file, fcntl.LOCK_EX | fcntl.LOCK_NB)
-            if os.fstat(self.file).st_size < 2 * SLOT:
-                os.posix_fallocate(self.file, 0, 2 * SLOT)
+            if os.fstat(self.file).st_size < 2 * SLOT_BYTES:
+                os.posix_fallocate(self.file, 0, 2 * SLOT_BYTES)
                 os.fsync(self.file)
         except OSError as err:
             held = "; another process holds it" if isinstance(err, BlockingIOError) else ""
-            raise StateFaultError(f"{path}: {err.strerror}{held}") from err
+            raise StateFileError(f"{path}: {err.strerror}{held}") from err
 
-    def read(self) -> m.Memory | None:
+    def read(self) -> m.DurableState | None:
         """What was kept last, or nothing where nothing ever was."""
         best, empty = b"", True
         for slot in (0, 1):
-            data = os.pread(self.file, SLOT, slot * SLOT)
+            data = os.pread(self.file, SLOT_BYTES, slot * SLOT_BYTES)
             magic, count, length, digest = HEAD.unpack_from(data)
             empty = empty and not any(data[: HEAD.size])
             body = data[HEAD.size : HEAD.size + length]
-            if magic == MAGIC and len(body) == length and _hash(count, body) == digest and count > self.count:
+            if (
+                magic == MAGIC
+                and len(body) == length
+                and _digest(count, body) == digest
+                and count > self.count
+            ):
                 self.count, best = count, body
         if not best:
             if empty:
                 return None
-            raise StateFaultError(f"{self.path}: neither of its two parts is whole")
+            raise StateFileError(f"{self.path}: neither of its two parts is whole")
         try:
-            return m.memories.decode(best)
+            return m.durable_states.decode(best)
         except msgspec.MsgspecError as err:
-            raise StateFaultError(f"{self.path}: {err}") from err
+            raise StateFileError(f"{self.path}: {err}") from err
 
-    def write(self, memory: m.Memory) -> None:
+    def write(self, state: m.DurableState) -> None:
         """Keep this for good, also if the power is cut."""
-        body, count = m.encode(memory), self.count + 1
-        if HEAD.size + len(body) > SLOT:
+        body, count = m.encode(state), self.count + 1
+        if HEAD.size + len(body) > SLOT_BYTES:
             raise OSError(f"{self.path}: {len(body)} bytes are too many")
-        record = HEAD.pack(MAGIC, count, len(body), _hash(count, body)) + body
-        os.pwrite(self.file, record, count % 2 * SLOT)
+        record = HEAD.pack(MAGIC, count, len(body), _digest(count, body)) + body
+        os.pwrite(self.file, record, count % 2 * SLOT_BYTES)
         os.fdatasync(self.file)
         self.count = count
 
@@ -75,5 +80,5 @@
         os.close(self.file)
 
 
-def _hash(count: int, body: bytes) -> bytes:
+def _digest(count: int, body: bytes) -> bytes:
     return hashlib.blake2b(count.to_bytes(8, "little") + body, digest_size=16).digest()
--- a/violetdoor/fleet/streams.py
+++ b/violetdoor/fleet/streams.py
@@ -20,15 +20,15 @@
 if TYPE_CHECKING:
     from violetdoor.fleet.endpoint import Fleet
 
-QUEUE_MOST = 4 << 20  # bytes that wait for one relay; beyond it nothing more is taken
-AT_ONCE = 256 * 1024  # bytes joined into one write
-CONNECT_WITHIN = 0.5  # s
-WRITE_WITHIN = 2.0  # s that another relay may take nothing
-IDLE = 30.0  # s without a message after which a stream is closed
-AGAIN = 0.1  # s between two attempts to reach a relay
+MAX_QUEUE = 4 << 20  # bytes that wait for one relay; beyond it nothing more is taken
+MAX_BATCH = 256 * 1024  # bytes joined into one write
+CONNECT_TIMEOUT = 0.5  # s
+WRITE_TIMEOUT = 2.0  # s that another relay may take nothing
+IDLE_TIMEOUT = 30.0  # s without a message after which a stream is closed
+RETRY_INTERVAL = 0.1  # s between two attempts to reach a relay
 
 Address = tuple[str, int]
-Heard = Callable[[str, int, bytes], None]  # name and life of who says it, and what
+MessageHandler = Callable[[str, int, bytes], None]  # name and life of who says it, and what
 
 
 class Stream:
@@ -42,7 +42,7 @@
 
     def put(self, data: bytes) -> bool:
         """Queue a message; False where there is no room."""
-        if self.size + len(data) > QUEUE_MOST:
+        if self.size + len(data) > MAX_QUEUE:
             return False
         self.queue.append(data)
         self.size += len(data)
@@ -53,7 +53,7 @@
         """Bring messages over until nothing comes for long, or the way breaks."""
         fleet = self.streams.fleet
         try:
-            sock = await connect(self.address, CONNECT_WITHIN)
+            sock = await connect(self.address, CONNECT_TIMEOUT)
         except ConnectionRefusedError:
             self.streams.counts["streams_refused"] += 1
             self.streams.on_refused(self.name, self.life)
@@ -62,7 +62,7 @@
             self.streams.counts["streams_failed"] += 1
             return
         try:
-            async with asyncio.timeout(CONNECT_WITHIN):
+            async with asyncio.timeout(CONNECT_TIMEOUT):
                 opening = m.OpenStream(fleet.node.me.name, fleet.node.me.instance, self.streams.channel)
                 both, answer = await fleet.begin_call(sock, opening)
             if not isinstance(answer, m.Alive) or answer.instance != self.life:
@@ -80,26 +80,26 @@
             if not self.queue:
                 self.more.clear()
                 try:
-                    async with asyncio.timeout(IDLE):
+                    async with asyncio.timeout(IDLE_TIMEOUT):
                         await self.more.wait()
                 except TimeoutError:
                     return
             batch = bytearray()
-            while self.queue and len(batch) < AT_ONCE:
+            while self.queue and len(batch) < MAX_BATCH:
                 data = self.queue.popleft()
                 self.size -= len(data)
                 sealed = seal.put(data, b"stream" + both + count.to_bytes(8, "big"))
                 batch += len(sealed).to_bytes(4, "big") + sealed
                 count += 1
             self.streams.counts["bytes_out"] += len(batch)
-            async with asyncio.timeout(WRITE_WITHIN):
+            async with asyncio.timeout(WRITE_TIMEOUT):
                 await loop.sock_sendall(sock, batch)
 
 
 class Streams:
     """All streams of one channel: those that this relay opens, and what comes on others'."""
 
-    def __init__(self, fleet: Fleet, channel: str, heard: Heard) -> None:
+    def __init__(self, fleet: Fleet, channel: str, heard: MessageHandler) -> None:
         self.fleet, self.channel, self.heard = fleet, channel, heard
         self.on_refused: Callable[[str, int], None] = lambda name, life: None
         self.counts: Counter[str] = Counter()
@@ -127,7 +127,7 @@
         try:
             await stream.run()
             if stream.queue:  # its relay can't be reached now: not at once again
-                await asyncio.sleep(AGAIN)
+                await asyncio.sleep(RETRY_INTERVAL)
         finally:
             if self.out.get(key) is stream:
                 del self.out[key], self.tasks[key]
--- a/violetdoor/fleet/swim.py
+++ b/violetdoor/fleet/swim.py
@@ -20,15 +20,16 @@
 from violetdoor.fleet.view import Peer
 
 # s between two probes: with the least suspicion a crash is found within a second at three members
-PERIOD = 0.25
-ASK_OTHERS = 0.4  # part of the period after which others are asked
-HELPERS = 3  # members that are asked to probe in this one's place
-SUSPECT_LEAST, SUSPECT_MOST = 2.4, 6.0  # periods of a suspicion, times the spread: confirmed, and unconfirmed
-CONFIRMED = 3  # independent suspicions from which on it is shortest
-HEALTH_WORST = 8  # of the health's score: all times are multiplied by one more
+PROBE_PERIOD = 0.25
+INDIRECT_PROBE_AFTER = 0.4  # part of the period after which others are asked
+INDIRECT_PROBES = 3  # members that are asked to probe in this one's place
+# periods that a suspicion lasts, times the spread: confirmed by others, and unconfirmed
+MIN_SUSPICION, MAX_SUSPICION = 2.4, 6.0
+MAX_CONFIRMATIONS = 3  # independent suspicions from which on it is shortest
+WORST_HEALTH = 8  # of the health's score: all times are multiplied by one more
 WITNESSES = 5  # members, on average, that probe one at once of which they hear that it is suspected
-RETELL = 4  # times the spread that a rumor is told on
-DEAD_EVERY = 4  # each so many periods a member held for dead is probed too: partitions heal
+RUMOR_RETRANSMITS = 4  # times the spread that a rumor is told on
+DEAD_PROBE_EVERY = 4  # each so many periods a member held for dead is probed too: partitions heal
 
 
 class Health(Enum):
@@ -40,14 +41,14 @@
 
 
 @dataclass(slots=True, eq=False)
-class Watched:
+class MonitoredMember:
     """One member as it is seen from here."""
 
     peer: Peer
     incarnation: int = 0
     health: Health = Health.ALIVE
     since: float = 0.0  # of the suspicion or death
-    heard: float = -math.inf  # when a packet of this life last came
+    heard_at: float = -math.inf  # when a packet of this life last came
     by: set[str] = field(default_factory=set)  # who suspects it
 
 
@@ -64,7 +65,7 @@
 
 
 @dataclass(slots=True)
-class Errand:
+class RelayedProbe:
     """A probe for somebody else."""
 
     origin: str
@@ -78,20 +79,21 @@
     def __init__(self, me: Peer, random: Random, now: float) -> None:
         self.me, self.random = me, random
         self.incarnation = 0
-        self.watched: dict[str, Watched] = {}
-        self.suspected: dict[str, Watched] = {}  # of these: so that a step costs as much as there is in doubt
-        self.gone: dict[str, Watched] = {}  # held for dead
+        self.watched: dict[str, MonitoredMember] = {}
+        # Of these; kept apart so that a step costs as much as there is in doubt.
+        self.suspected: dict[str, MonitoredMember] = {}
+        self.dead_members: dict[str, MonitoredMember] = {}  # held for dead
         self.order: list[str] = []  # to be probed next, last first
-        self.seq, self.probe = 0, list[Probe]()
-        self.errands: dict[int, Errand] = {}
-        self.score = 0  # of the own health: 0 is well
-        self.next_period = now + random.random() * PERIOD
+        self.seq, self.probes = 0, list[Probe]()
+        self.relayed_probes: dict[int, RelayedProbe] = {}
+        self.health_score = 0  # of the own health: 0 is well
+        self.next_period = now + random.random() * PROBE_PERIOD
         self.periods = 0
         self.woken = now
         self.rumors: dict[str, tuple[m.Rumor, int]] = {}  # by member, with how often it is still told
         self.out: list[tuple[str, m.Message]] = []
-        self.over_tcp: list[tuple[str, int]] = []  # members to be asked over TCP, with the probe's number
-        self.proofs: list[tuple[str, int]] = []  # lives that others know to be over for sure
+        self.tcp_probes: list[tuple[str, int]] = []  # members to be asked over TCP, with the probe's number
+        self.death_proofs: list[tuple[str, int]] = []  # lives that others know to be over for sure
         self.changed = False  # somebody's health has changed since this was last looked at
 
     # Members.
@@ -104,17 +106,17 @@
                 continue
             old = known.get(peer.name)
             kept = old if old is not None and old.peer.instance == peer.instance else None
-            self.watched[peer.name] = kept or Watched(peer, heard=now)
+            self.watched[peer.name] = kept or MonitoredMember(peer, heard_at=now)
             self.watched[peer.name].peer = peer  # since when it is in may be known only now
         self.suspected = {n: w for n, w in self.watched.items() if w.health is Health.SUSPECT}
-        self.gone = {n: w for n, w in self.watched.items() if w.health is Health.DEAD}
+        self.dead_members = {n: w for n, w in self.watched.items() if w.health is Health.DEAD}
         self.order = [name for name in self.order if name in self.watched]
         # Guards against a newcomer that nobody probes until all have gone once through those before it.
         for name in [name for name in self.watched if name not in known]:
             self.order.insert(self.random.randint(0, len(self.order)), name)
         self.rumors = {n: r for n, r in self.rumors.items() if n in self.watched or n == self.me.name}
         # Guards against the answer of an earlier life to what was asked of that one.
-        self.probe = [p for p in self.probe if known.get(p.name) is self.watched.get(p.name)]
+        self.probes = [p for p in self.probes if known.get(p.name) is self.watched.get(p.name)]
 
     def alive(self, name: str) -> bool:
         """Whether a member is held for alive: not suspected, not dead."""
@@ -124,28 +126,28 @@
     @property
     def living(self) -> int:
         """How many are held for alive, this relay with them."""
-        return 1 + len(self.watched) - len(self.gone) - len(self.suspected)
+        return 1 + len(self.watched) - len(self.dead_members) - len(self.suspected)
 
     def dead(self) -> list[str]:
         """The members held for dead."""
-        return list(self.gone)
+        return list(self.dead_members)
 
-    def _turn(self, w: Watched, health: Health, now: float) -> None:
+    def _set_health(self, w: MonitoredMember, health: Health, now: float) -> None:
         """Hold a member for something else from now on."""
         name = w.peer.name
         self.suspected.pop(name, None)
-        self.gone.pop(name, None)
+        self.dead_members.pop(name, None)
         if health is Health.SUSPECT:
             self.suspected[name] = w
         elif health is Health.DEAD:
-            self.gone[name] = w
+            self.dead_members[name] = w
         w.health, w.since, self.changed = health, now, True
 
-    def suspicion(self, watched: Watched) -> float:
+    def suspicion(self, watched: MonitoredMember) -> float:
         """How long a suspicion lasts now, s."""
-        scale = PERIOD * spread(len(self.watched) + 1)
-        least, most = SUSPECT_LEAST * scale, SUSPECT_MOST * scale
-        expected = min(CONFIRMED, max(0, len(self.watched) - 1))  # others that may confirm
+        scale = PROBE_PERIOD * spread(len(self.watched) + 1)
+        least, most = MIN_SUSPICION * scale, MAX_SUSPICION * scale
+        expected = min(MAX_CONFIRMATIONS, max(0, len(self.watched) - 1))  # others that may confirm
         if expected == 0:
             return least
         confirmed = min(expected, len(watched.by) - 1)
@@ -156,81 +158,81 @@
     @property
     def due(self) -> float:
         """When to be woken next."""
-        dues = [self.next_period, *(e.until for e in self.errands.values())]
-        dues += [p.began + self._patience for p in self.probe if not p.asked]
+        dues = [self.next_period, *(e.until for e in self.relayed_probes.values())]
+        dues += [p.began + self._patience for p in self.probes if not p.asked]
         dues += [w.since + self.suspicion(w) for w in self.suspected.values()]
         return min(dues)
 
     @property
     def _period(self) -> float:
-        return PERIOD * (1 + self.score)
+        return PROBE_PERIOD * (1 + self.health_score)
 
     @property
     def _patience(self) -> float:
-        return ASK_OTHERS * self._period
+        return INDIRECT_PROBE_AFTER * self._period
 
-    def paused(self, now: float) -> None:
+    def resume_after_pause(self, now: float) -> None:
         """Go on after a stop of the own process: nothing that fell due meanwhile counts."""
-        self.probe.clear()
-        self.errands.clear()
-        self.score = HEALTH_WORST
+        self.probes.clear()
+        self.relayed_probes.clear()
+        self.health_score = WORST_HEALTH
         for w in self.suspected.values():
             w.since = now
         self.next_period = now
 
     def wake(self, now: float) -> None:
         """Do what is due."""
-        for seq, errand in list(self.errands.items()):
-            if now >= errand.until:
-                del self.errands[seq]
-                self.out.append((errand.origin, m.Nack(errand.seq)))
-        for probe in self.probe:
+        for seq, relayed in list(self.relayed_probes.items()):
+            if now >= relayed.until:
+                del self.relayed_probes[seq]
+                self.out.append((relayed.origin, m.Nack(relayed.seq)))
+        for probe in self.probes:
             if not probe.asked and now >= probe.began + self._patience:
                 self._ask_others(probe)
         if now >= self.next_period:
             self.next_period = now + self._period
-            self._judge(now)
-            self._begin(now)
+            self._expire_probes(now)
+            self._start_period(now)
         for name, w in list(self.suspected.items()):
             if now >= w.since + self.suspicion(w):
-                self._turn(w, Health.DEAD, now)
+                self._set_health(w, Health.DEAD, now)
                 self.rumors.pop(name, None)
 
-    def _begin(self, now: float) -> None:
+    def _start_period(self, now: float) -> None:
         self.periods += 1
         if not self.order:
             self.order = [name for name, w in self.watched.items() if w.health is not Health.DEAD]
             self.random.shuffle(self.order)
         if self.order:
             self._send_probe(self.order.pop(), now)
-        if self.periods % DEAD_EVERY == 0 and (gone := self.dead()):
+        if self.periods % DEAD_PROBE_EVERY == 0 and (gone := self.dead()):
             self.seq += 1
             self.out.append((self.random.choice(gone), m.Ping(self.seq)))
 
     def _send_probe(self, name: str, now: float) -> None:
         self.seq += 1
-        self.probe.append(Probe(self.seq, name, now))
+        self.probes.append(Probe(self.seq, name, now))
         self.out.append((name, m.Ping(self.seq, self.watched[name].peer.instance)))
 
-    def look_at(self, name: str, now: float) -> None:
+    def probe_now(self, name: str, now: float) -> None:
         """Probe a member out of turn: somebody holds it for dead."""
-        if name in self.watched and all(p.name != name for p in self.probe):
+        if name in self.watched and all(p.name != name for p in self.probes):
             self._send_probe(name, now)
 
     def _ask_others(self, probe: Probe) -> None:
         probe.asked = True
         others = [n for n, w in self.watched.items() if n != probe.name and w.health is Health.ALIVE]
-        helpers = self.random.sample(others, min(HELPERS, len(others)))
+        helpers = self.random.sample(others, min(INDIRECT_PROBES, len(others)))
         probe.nacks, probe.helped = len(helpers), bool(helpers)
         self.out += [(name, m.PingFor(probe.seq, probe.name)) for name in helpers]
-        self.over_tcp.append((probe.name, probe.seq))
+        self.tcp_probes.append((probe.name, probe.seq))
 
-    def _judge(self, now: float) -> None:
+    def _expire_probes(self, now: float) -> None:
         """The period is over: what has had time enough and no answer is suspected."""
-        for probe in list(self.probe):
+        for probe in list(self.probes):
             if now < probe.began + 0.9 * self._period:
                 continue
-            self.probe.remove(probe)
+            self.probes.remove(probe)
             # Helpers that did not even say that they had no answer put my own network in doubt; where
             # there is none to ask, nothing tells whose fault it is.
             self._health(min(2, probe.nacks) if probe.helped else 1)
@@ -238,16 +240,16 @@
                 self._suspect(w, self.me.name, w.incarnation, now)
 
     def _health(self, by: int) -> None:
-        self.score = min(HEALTH_WORST, max(0, self.score + by))
+        self.health_score = min(WORST_HEALTH, max(0, self.health_score + by))
 
     # What others say.
 
-    def heard(self, name: str, instance: int, incarnation: int, now: float) -> None:
+    def record_heard(self, name: str, instance: int, incarnation: int, now: float) -> None:
         """A packet of this life came."""
         w = self.watched.get(name)
         if w is None or w.peer.instance != instance:
             return
-        w.heard = now
+        w.heard_at = now
         if incarnation > w.incarnation:
             self._alive(w, incarnation)
 
@@ -258,42 +260,46 @@
         """An answer; of another life than the one that is watched it proves that this one is over."""
         w = self.watched.get(name)
         if w is not None and ack.instance not in (0, w.peer.instance):
-            self.over(name, now)
+            self.confirm_dead(name, now)
         elif w is not None and w.health is Health.DEAD:
             # It answers: a partition has healed. It is suspected until it contradicts.
-            self._turn(w, Health.SUSPECT, now)
+            self._set_health(w, Health.SUSPECT, now)
             w.by = {self.me.name}
-        for probe in self.probe:
+        for probe in self.probes:
             if probe.seq == ack.seq:
-                self.probe.remove(probe)
+                self.probes.remove(probe)
                 self._health(-1)
                 return
-        if (errand := self.errands.pop(ack.seq, None)) is not None:
-            self.out.append((errand.origin, m.Ack(errand.seq, 0)))
+        if (relayed := self.relayed_probes.pop(ack.seq, None)) is not None:
+            self.out.append((relayed.origin, m.Ack(relayed.seq, 0)))
 
-    def over(self, name: str, now: float, proved: bool = False) -> None:
+    def confirm_dead(self, name: str, now: float, proved: bool = False) -> None:
         """A member's life is over for sure: its relay has begun another, and its silence is no fault here."""
-        self.probe = [p for p in self.probe if p.name != name]
+        self.probes = [p for p in self.probes if p.name != name]
         if (w := self.watched.get(name)) is not None:
             if w.health is not Health.DEAD:
-                self._turn(w, Health.DEAD, now)
+                self._set_health(w, Health.DEAD, now)
                 self.rumors.pop(name, None)
             if proved:
-                self._tell(m.Rumor(name, w.peer.instance, w.incarnation, m.OVER, self.me.name))
+                self._queue_rumor(
+                    m.Rumor(name, w.peer.instance, w.incarnation, m.CONFIRMED_DEAD, self.me.name)
+                )
 
     def answered_over_tcp(self, seq: int) -> None:
         """A member that lost a datagram answered over TCP."""
-        self.probe = [p for p in self.probe if p.seq != seq]
+        self.probes = [p for p in self.probes if p.seq != seq]
 
     def ping_for(self, origin: str, asked: m.PingFor, now: float) -> None:
         if (w := self.watched.get(asked.name)) is None:
             return
         self.seq += 1
-        self.errands[self.seq] = Errand(origin, asked.seq, now + ASK_OTHERS * PERIOD)
+        self.relayed_probes[self.seq] = RelayedProbe(
+            origin, asked.seq, now + INDIRECT_PROBE_AFTER * PROBE_PERIOD
+        )
         self.out.append((asked.name, m.Ping(self.seq, w.peer.instance)))
 
     def nack(self, nack: m.Nack) -> None:
-        for probe in self.probe:
+        for probe in self.probes:
             if probe.seq == nack.seq:
                 probe.nacks = max(0, probe.nacks - 1)
 
@@ -304,44 +310,44 @@
                 if rumor.incarnation >= self.incarnation:
                     self.incarnation = rumor.incarnation + 1
                     self._health(+1)
-                self._tell(m.Rumor(self.me.name, self.me.instance, self.incarnation, m.ALIVE))
+                self._queue_rumor(m.Rumor(self.me.name, self.me.instance, self.incarnation, m.ALIVE))
             return
         w = self.watched.get(rumor.name)
         if w is None or w.peer.instance != rumor.instance:
             return
-        if rumor.state == m.OVER:
-            self.proofs.append((rumor.name, rumor.instance))
+        if rumor.state == m.CONFIRMED_DEAD:
+            self.death_proofs.append((rumor.name, rumor.instance))
         elif rumor.state == m.ALIVE:
             if rumor.incarnation > w.incarnation:
                 self._alive(w, rumor.incarnation)
         else:
             self._suspect(w, rumor.by, rumor.incarnation, now)
 
-    def _alive(self, w: Watched, incarnation: int) -> None:
+    def _alive(self, w: MonitoredMember, incarnation: int) -> None:
         w.incarnation = incarnation
         if w.health is not Health.ALIVE:
-            self._turn(w, Health.ALIVE, w.since)
+            self._set_health(w, Health.ALIVE, w.since)
             w.by.clear()
-        self._tell(m.Rumor(w.peer.name, w.peer.instance, incarnation, m.ALIVE))
+        self._queue_rumor(m.Rumor(w.peer.name, w.peer.instance, incarnation, m.ALIVE))
 
-    def _suspect(self, w: Watched, by: str, incarnation: int, now: float) -> None:
+    def _suspect(self, w: MonitoredMember, by: str, incarnation: int, now: float) -> None:
         if incarnation < w.incarnation or w.health is Health.DEAD:
             return
         if w.health is Health.ALIVE:
-            self._turn(w, Health.SUSPECT, now)
+            self._set_health(w, Health.SUSPECT, now)
             w.by = set()
             if by != self.me.name and self.random.random() * len(self.watched) < WITNESSES:
                 # some find out for themselves, so that it need not take its turn
-                self.look_at(w.peer.name, now)
+                self.probe_now(w.peer.name, now)
         elif incarnation > w.incarnation:
             w.since, w.by = now, set()
         w.incarnation = incarnation
-        if by not in w.by and len(w.by) <= CONFIRMED:
+        if by not in w.by and len(w.by) <= MAX_CONFIRMATIONS:
             w.by.add(by)
-            self._tell(m.Rumor(w.peer.name, w.peer.instance, incarnation, m.SUSPECT, by))
+            self._queue_rumor(m.Rumor(w.peer.name, w.peer.instance, incarnation, m.SUSPECT, by))
 
-    def _tell(self, rumor: m.Rumor) -> None:
-        self.rumors[rumor.name] = rumor, RETELL * spread(len(self.watched) + 1)
+    def _queue_rumor(self, rumor: m.Rumor) -> None:
+        self.rumors[rumor.name] = rumor, RUMOR_RETRANSMITS * spread(len(self.watched) + 1)
 
     def pick_rumors(self, to: str) -> tuple[m.Rumor, ...]:
         """What to tell a member with the next packet: first what is said of itself, then the least told.
@@ -353,7 +359,7 @@
         if (w := self.watched.get(to)) is not None and w.health is not Health.ALIVE:
             picked.append(m.Rumor(to, w.peer.instance, w.incarnation, m.SUSPECT, self.me.name))
         waiting = sorted(self.rumors.items(), key=lambda r: -r[1][1])
-        for name, (rumor, left) in waiting[: m.RUMORS_MOST - len(picked)]:
+        for name, (rumor, left) in waiting[: m.MAX_RUMORS - len(picked)]:
             picked.append(rumor)
             if left <= 1:
                 del self.rumors[name]
--- a/violetdoor/fleet/view.py
+++ b/violetdoor/fleet/view.py
@@ -10,9 +10,9 @@
 import xxhash
 from msgspec import Struct
 
-MEMBERS_MOST = 1024  # of one view; a bitmap of it has 128 bytes, so that two fit into every packet
-JOINS_MOST = 48  # taken in by one change, if their names leave room
-LINE_RANDOM_BITS = 16
+MAX_MEMBERS = 1024  # of one view; a bitmap of it has 128 bytes, so that two fit into every packet
+MAX_JOINS = 48  # taken in by one change, if their names leave room
+EPOCH_RANDOM_BITS = 16
 
 
 class Peer(Struct, frozen=True, array_like=True):
@@ -50,23 +50,23 @@
     founder's Unix time in ms with random bits behind, so that later lines are higher where clocks are sound.
     """
 
-    line: int
+    epoch: int
     seq: int
 
     def __str__(self) -> str:
-        return f"{self.line:x}/{self.seq}"
+        return f"{self.epoch:x}/{self.seq}"
 
 
 class View(Struct, frozen=True, array_like=True, dict=True):
     """Who is in the fleet. Members are sorted by name; their place is what bitmaps and ballots go by."""
 
-    line: int
+    epoch: int
     seq: int
     members: tuple[Peer, ...]
 
     @property
     def id(self) -> ViewId:
-        return ViewId(self.line, self.seq)
+        return ViewId(self.epoch, self.seq)
 
     @cached_property
     def digest(self) -> str:
@@ -98,7 +98,7 @@
         kept = {p.name: p for n, p in enumerate(self.members) if n not in gone}
         seq = self.seq + 1
         kept |= {p.name: msgspec.structs.replace(p, since=seq) for p in change.joins}
-        return View(self.line, seq, in_order(kept.values()))
+        return View(self.epoch, seq, in_order(kept.values()))
 
     def owner(self, key: str) -> str:
         """The member that a key belongs to, by rendezvous hashing: few keys move when members change."""
