The fleet's node is made of parts with one job each; what passes between them is typed

Cause: node.py was one class of 1,084 lines with sixty attributes that every method could change. Node is now a facade that joins parts by composition: context (shared state), departures, prior_leases, gossip, heartbeat, sync, membership, proposer, founding, joining, packets, receiver, requests, handover, status, outbox. Imports go one way; parts with state that belongs to a view are ViewListeners of membership. Bare tuples become types (Candidate, JoinRequest, FoundingVote, OpenCall, Source, Actions, Datagram, PriorView, SenderWindow, Readmission, ReportedView, JoinedRound, Outgoing, TcpProbe, DeathProof, FleetStatus), phases and reasons to drop become enums, force raises ForceRefusedError in place of a text. The driver takes `take_actions()`. What was set and never read (lost_at) is gone.

Tests: patches of bugs put in on purpose follow the code: LEASE_EXPIRY in the three modules that use it, may_act on NodeContext, end_member on Departures. A refused force is `pytest.raises`, as strict as its text.

--- a/tests/test_fleet_search.py
+++ b/tests/test_fleet_search.py
@@ -9,7 +9,17 @@
 import pytest
 
 from violetdoor.faults import explore, virtual
-from violetdoor.fleet import agreement, lease, node, swim, view
+from violetdoor.fleet import (
+    agreement,
+    context,
+    departures,
+    founding,
+    lease,
+    membership,
+    prior_leases,
+    swim,
+    view,
+)
 from violetdoor.fleet import messages as m
 
 Patch = Callable[[pytest.MonkeyPatch], None]
@@ -63,7 +73,8 @@
 
 def nobody_waits_for_leases(patch: pytest.MonkeyPatch) -> None:
     """A new view is acted on at once."""
-    patch.setattr(node, "LEASE_EXPIRY", 0.0)
+    for module in (prior_leases, membership, founding):
+        patch.setattr(module, "LEASE_EXPIRY", 0.0)
 
 
 def a_lease_begins_when_it_is_seen(patch: pytest.MonkeyPatch) -> None:
@@ -86,7 +97,7 @@
 
 def sleepers_trust_their_last_look(patch: pytest.MonkeyPatch) -> None:
     """Whether a lease holds is looked at when the relay is woken, not when it acts."""
-    patch.setattr(node.Node, "may_act", lambda self, now: self.live)
+    patch.setattr(context.NodeContext, "may_act", lambda self, now: self.live)
 
 
 def any_starter_will_do(patch: pytest.MonkeyPatch) -> None:
@@ -107,13 +118,13 @@
     def sure(self: swim.Detector, name: str, now: float, proved: bool = False) -> None:
         confirm_dead(self, name, now, True)
 
-    def dead(self: node.Node, name: str, now: float) -> None:
-        self.dead_instances[self.view.peer(name).instance] = None  # type: ignore[union-attr]
+    def dead(self: departures.Departures, name: str, now: float) -> None:
+        self.dead_instances[self.context.view.peer(name).instance] = None  # type: ignore[union-attr]
         self.ended_members.add(name)
-        self.detector.confirm_dead(name, now, True)
+        self.context.detector.confirm_dead(name, now, True)
 
     patch.setattr(swim.Detector, "confirm_dead", sure)
-    patch.setattr(node.Node, "_end_member", dead)
+    patch.setattr(departures.Departures, "end_member", dead)
 
 
 BUGS: list[tuple[explore.Kind, Patch]] = [
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -10,7 +10,7 @@
 from violetdoor.faults.virtual import World
 from violetdoor.fleet import messages as m
 from violetdoor.fleet.lease import LEASE_DURATION, LEASE_EXPIRY
-from violetdoor.fleet.node import REJOIN_INTERVAL, MemberState
+from violetdoor.fleet.node import REJOIN_INTERVAL, ForceRefusedError, MemberState
 from violetdoor.fleet.shared import MAX_ENTRIES
 
 CRASH, HEAL, JOINS = 3.0, 5.0, 5.0  # s that each may take
@@ -77,12 +77,13 @@
 
 def test_the_operators_way_out_is_refused_while_a_majority_is_reached() -> None:
     world = fleet(5)
-    assert "majority is reached" in node(world, "r003").force(world.clock(world.hosts["r003"]))
+    with pytest.raises(ForceRefusedError, match="majority is reached"):
+        node(world, "r003").force(world.clock(world.hosts["r003"]))
     for name in names(3):
         world.kill(name)
     world.run(10.0)
     line = node(world, "r003").view.epoch
-    assert node(world, "r003").force(world.clock(world.hosts["r003"])) == ""
+    node(world, "r003").force(world.clock(world.hosts["r003"]))
     world._carry_out(world.hosts["r003"])
     assert settles(world, ["r003", "r004"], HEAL) and node(world, "r003").view.epoch > line
     # Those of the old line give it up for the one that lives.
@@ -202,8 +203,8 @@
     twin = world.host("twin")
     world.start("twin", (), names(3))
     assert twin.node is not None
-    twin.node.plan = replace(twin.node.plan, name="r002")
-    twin.node.me = twin.node._new_life()
+    twin.node.context.plan = replace(twin.node.context.plan, name="r002")
+    twin.node.context.me = twin.node.context.new_identity()
     world.run(5.0)
     assert twin.node.state is MemberState.OUTSIDE and node(world, "r000").view.peer("r002") == before
     assert ("twin", "fleet.refused", "name") in {
@@ -235,7 +236,7 @@
         world.kill(name)
         world.start(name, names(3), names(3), version=2)
         assert settles(world, names(4), 2 * HEAL)
-    assert all(set(node(world, n).peer_versions.values()) == {2} for n in names(4))
+    assert all(set(node(world, n).packets.peer_versions.values()) == {2} for n in names(4))
 
 
 def test_who_leaves_is_out_at_once_and_returns_under_its_name() -> None:
--- a/violetdoor/faults/virtual.py
+++ b/violetdoor/faults/virtual.py
@@ -172,9 +172,7 @@
         if node is None:
             return
         host.disk = node.durable_state
-        datagrams, node.datagrams = node.datagrams, []
-        calls, node.calls = node.calls, []
-        events, node.events = node.events, []
+        datagrams, calls, events = node.take_actions()
         self.events += [(self.now, host.name, e.name, e.values) for e in events]
         for address, packet in datagrams:
             self._send(host, address, packet)
--- a/violetdoor/fleet/agreement.py
+++ b/violetdoor/fleet/agreement.py
@@ -13,7 +13,9 @@
 
 import math
 from dataclasses import dataclass, field
+from enum import Enum
 from random import Random
+from typing import NamedTuple
 
 from violetdoor.fleet import messages as m
 from violetdoor.fleet.view import Change, View
@@ -22,6 +24,14 @@
 BALLOT_TIMEOUT = 1.0  # s until a proposer begins anew with a higher ballot, and a random part of this
 
 
+class Phase(Enum):
+    """What a proposal waits for a majority of."""
+
+    POLL = "poll"  # members that hear none of the dead
+    PREPARE = "prepare"  # promises to take part in no lower ballot
+    ACCEPT = "accept"  # acceptances
+
+
 @dataclass(slots=True)
 class Proposal:
     """What this relay is about to bring through."""
@@ -30,7 +40,7 @@
     began: float
     asked_at: float
     ballot: int = -1
-    phase: str = "poll"  # poll, prepare, accept
+    phase: Phase = Phase.POLL
     voted: set[int] = field(default_factory=set)  # places of members that agreed in this phase
     contradicted: set[int] = field(default_factory=set)  # places of dead that somebody knows to live
     highest: int = -1  # ballot of the accepted change that promises told of
@@ -38,6 +48,13 @@
     ended: tuple[int, ...] = ()  # places of those that have begun another life
 
 
+class Outgoing(NamedTuple):
+    """A message to the member at this place of the view."""
+
+    place: int
+    message: m.Message
+
+
 class Agreement:
     """One relay's part in deciding what follows `view`; `out` has what is to be sent, and to whom."""
 
@@ -49,7 +66,7 @@
         self.proposal: Proposal | None = None
         self.round = 0
         self.polls = 0
-        self.out: list[tuple[int, m.Message]] = []
+        self.out: list[Outgoing] = []
         self.contradicted: set[int] = set()  # of the last poll that failed
         self.yields_until = -math.inf  # another proposer is at work
 
@@ -102,13 +119,13 @@
         p.asked_at = now
         base = self.view.id
         message: m.Message
-        if p.phase == "poll":
+        if p.phase is Phase.POLL:
             message = m.Poll(base, self.polls, p.change, p.ended)
-        elif p.phase == "prepare":
+        elif p.phase is Phase.PREPARE:
             message = m.Prepare(base, p.ballot)
         else:
             message = m.Accept(base, p.ballot, p.change)
-        self.out += [(n, message) for n in self._others() if n not in p.voted]
+        self.out += [Outgoing(n, message) for n in self._others() if n not in p.voted]
 
     def _step(self, now: float) -> None:
         """Go on to the next phase if this one has its majority, else ask."""
@@ -116,9 +133,9 @@
         assert p is not None
         if len(p.voted) < self.view.majority:
             self._ask(now)
-        elif p.phase == "poll":
+        elif p.phase is Phase.POLL:
             self._prepare(now)
-        elif p.phase == "prepare":
+        elif p.phase is Phase.PREPARE:
             self._accept(now)
         else:
             self._decide(p.change)
@@ -134,7 +151,7 @@
         if p.ballot == 0:  # no lower ballot can be
             self._accept(now)
             return
-        p.phase, self.promised = "prepare", p.ballot
+        p.phase, self.promised = Phase.PREPARE, p.ballot
         if self.accepted is not None:
             p.highest, p.change = self.accepted_in, self.accepted
         p.voted.add(self.me)
@@ -143,7 +160,7 @@
     def _accept(self, now: float) -> None:
         p = self.proposal
         assert p is not None
-        p.phase, p.voted = "accept", {self.me}
+        p.phase, p.voted = Phase.ACCEPT, {self.me}
         self.promised = self.accepted_in = p.ballot
         self.accepted = p.change
         self._step(now)
@@ -151,7 +168,7 @@
     def _decide(self, change: Change) -> None:
         self.decided, self.proposal = change, None
         decided = m.Decided(self.view.id, change)
-        self.out += [(n, decided) for n in range(len(self.view.members)) if n != self.me]
+        self.out += [Outgoing(n, decided) for n in range(len(self.view.members)) if n != self.me]
 
     def wake(self, now: float) -> None:
         """Ask again, or give up a ballot that does not come through."""
@@ -169,9 +186,9 @@
         match message:
             case m.Poll(number=number, change=change, ended=ended):
                 alive = lives & set(change.dead) - set(ended)
-                self.out.append((place, m.Vote(base, number, tuple(sorted(alive)))))
+                self.out.append(Outgoing(place, m.Vote(base, number, tuple(sorted(alive)))))
             case m.Vote(number=number, alive=alive):
-                if p is not None and p.phase == "poll" and number == self.polls:
+                if p is not None and p.phase is Phase.POLL and number == self.polls:
                     p.contradicted |= set(alive)
                     if not alive:
                         p.voted.add(place)
@@ -181,11 +198,11 @@
                 if ballot >= self.promised:
                     self._yield_to(ballot, now)
                     self.promised = ballot
-                    self.out.append((place, m.Promise(base, ballot, self.accepted_in, self.accepted)))
+                    self.out.append(Outgoing(place, m.Promise(base, ballot, self.accepted_in, self.accepted)))
                 else:
-                    self.out.append((place, m.Refused(base, ballot, self.promised)))
+                    self.out.append(Outgoing(place, m.Refused(base, ballot, self.promised)))
             case m.Promise(ballot=ballot, accepted=accepted, change=accepted_change):
-                if p is not None and p.phase == "prepare" and ballot == p.ballot:
+                if p is not None and p.phase is Phase.PREPARE and ballot == p.ballot:
                     if accepted_change is not None and accepted > p.highest:
                         p.highest, p.change = accepted, accepted_change
                     p.voted.add(place)
@@ -196,17 +213,17 @@
                     self._yield_to(ballot, now)
                     self.promised = self.accepted_in = ballot
                     self.accepted = change
-                    self.out.append((place, m.Accepted(base, ballot)))
+                    self.out.append(Outgoing(place, m.Accepted(base, ballot)))
                 else:
-                    self.out.append((place, m.Refused(base, ballot, self.promised)))
+                    self.out.append(Outgoing(place, m.Refused(base, ballot, self.promised)))
             case m.Accepted(ballot=ballot):
-                if p is not None and p.phase == "accept" and ballot == p.ballot:
+                if p is not None and p.phase is Phase.ACCEPT and ballot == p.ballot:
                     p.voted.add(place)
                     if len(p.voted) >= self.view.majority:
                         self._step(now)
             case m.Refused(ballot=ballot, promised=promised):
                 self.round = max(self.round, promised // len(self.view.members) + 1)
-                if p is not None and p.phase != "poll" and ballot == p.ballot:
+                if p is not None and p.phase is not Phase.POLL and ballot == p.ballot:
                     self.proposal = None
             case m.Decided(change=change):
                 self.decided, self.proposal = change, None
@@ -217,5 +234,9 @@
         Guards against two proposers that take the ballot from each other for as long as both want something.
         """
         self.yields_until = now + BALLOT_TIMEOUT * self.random.uniform(1.0, 1.5)
-        if self.proposal is not None and self.proposal.phase != "poll" and ballot > self.proposal.ballot:
+        if (
+            self.proposal is not None
+            and self.proposal.phase is not Phase.POLL
+            and ballot > self.proposal.ballot
+        ):
             self.proposal = None
--- /dev/null
+++ b/violetdoor/fleet/departures.py
@@ -0,0 +1,61 @@
+"""Which lives of relays are over for certain. Without input or output.
+
+A suspicion ends in the detector's own finding that a member is dead, which may be wrong. What stands here is
+certain: a relay said that it leaves, another life of it answers, or its process is gone. An address belongs
+to one process at a time, and a process that is replaced hands its sockets over, so a refused connection or
+the answer of another life proves that a process is gone.
+"""
+
+from __future__ import annotations
+
+from violetdoor.fleet.context import NodeContext
+from violetdoor.fleet.view import MAX_MEMBERS, View
+
+
+class Departures:
+    """Members and lives that are gone. Lives are kept in bounded tables, the oldest go first."""
+
+    def __init__(self, context: NodeContext) -> None:
+        self.context = context
+        self.ended_members: set[str] = set()  # members of the view that have begun another life, or are gone
+        self.left_instances: dict[int, None] = {}  # lives that have left by their own word
+        self.dead_instances: dict[int, None] = {}  # lives whose process is gone
+
+    def is_gone(self, instance: int) -> bool:
+        """Whether a life can act no more."""
+        return instance in self.left_instances or instance in self.dead_instances
+
+    def record_left(self, instance: int) -> None:
+        """A life has left by its own word."""
+        self.left_instances[instance] = None
+        _drop_oldest(self.left_instances)
+
+    def end_member(self, name: str, now: float) -> None:
+        """The life that the view has of this member is over."""
+        self.ended_members.add(name)
+        self.context.detector.confirm_dead(name, now)
+        self.context.wake_by(now)
+
+    def confirm_dead(self, name: str, instance: int, now: float) -> None:
+        """The process of a life is gone: its address refuses calls, or another life answers there."""
+        known_before = instance in self.dead_instances
+        self.dead_instances[instance] = None
+        _drop_oldest(self.dead_instances)
+        own = name == self.context.plan.name
+        if self.context.is_member(name, instance) and not own and not known_before:
+            self.end_member(name, now)
+            self.context.detector.confirm_dead(name, now, proved=True)
+
+    def view_installed(self, old: View | None, view: View, now: float) -> None:
+        """Keep what is known of members whose life is in both views."""
+        stayed = set() if old is None else {p.name for p in old.members if view.has(p)}
+        self.ended_members &= stayed
+
+    def view_left(self, now: float) -> None:
+        """Forget what belonged to the view: this relay stands in none any more."""
+        self.ended_members = set()
+
+
+def _drop_oldest(table: dict[int, None]) -> None:
+    while len(table) > MAX_MEMBERS:
+        del table[next(iter(table))]
--- a/violetdoor/fleet/endpoint.py
+++ b/violetdoor/fleet/endpoint.py
@@ -22,9 +22,10 @@
 
 from violetdoor import events
 from violetdoor.fleet import messages as m
-from violetdoor.fleet.node import Address, Call, MemberState, Node, Plan
+from violetdoor.fleet.node import Actions, Address, Call, Event, MemberState, Node, Plan
 from violetdoor.fleet.seal import SEAL, Seal
 from violetdoor.fleet.state_file import StateFile
+from violetdoor.fleet.status import FleetStatus
 from violetdoor.fleet.streams import MessageHandler
 from violetdoor.fleet.view import MAX_MEMBERS, View
 from violetdoor.net.sockets import connect, end, listen
@@ -65,7 +66,7 @@
         self.tasks: set[asyncio.Task[None]] = set()
         self.inbound_calls = self.inbound_streams = 0
         # What waits until that is kept on which it rests.
-        self.deferred: list[tuple[list[tuple[Address, m.Packet]], list[Call]]] = []
+        self.deferred: list[Actions] = []
         self.writing = False
         self.open = False
         self.joined = asyncio.Event()
@@ -152,11 +153,10 @@
         self._flush_actions()
         return took
 
-    def force(self) -> str:
-        """Go on without a majority; why not, or nothing."""
-        why = self.node.force(self.clock())
+    def force(self) -> None:
+        """Go on without a majority. Raises ForceRefusedError where that may not be."""
+        self.node.force(self.clock())
         self._flush_actions()
-        return why
 
     def leave(self) -> None:
         """Go by this relay's own word."""
@@ -171,30 +171,9 @@
                 await self.joined.wait()
         return self.joined.is_set()
 
-    def status(self) -> dict[str, Any]:
+    def status(self) -> FleetStatus:
         """All that operators may want to know."""
-        node, now = self.node, self.clock()
-        view, detector = node.view, node.detector
-        members = [] if view is None else [
-            {
-                "name": p.name, "address": f"{p.host}:{p.port}", "zone": p.zone, "since": p.since,
-                "health": "self" if p.name == self.plan.name else _health(node, p.name),
-                "heard_s": _age(now, watched.heard_at) if (watched := detector.watched.get(p.name)) else 0.0,
-            }
-            for p in view.members
-        ]  # fmt: skip
-        return {
-            "name": self.plan.name, "standing": node.state.value,
-            "view": None if view is None else str(view.id), "digest": None if view is None else view.digest,
-            "size": 0 if view is None else len(view.members),
-            "majority": 0 if view is None else view.majority,
-            "may_act": node.may_act(now),
-            "lease_left_s": 0.0 if node.lease is None else round(max(0.0, node.lease.expires_at - now), 3),
-            "clear": node.prior_leases_expired(now), "own_health": detector.health_score, "members": members,
-            "pending": sorted(node.join_requests),
-            "shared": len(node.map.entries), "map": f"{node.map.digest:016x}",
-            "counts": dict(self.counts) | {f"dropped {k}": v for k, v in node.dropped.items() if v},
-        }  # fmt: skip
+        return self.node.status(self.counts, self.clock())
 
     # The end.
 
@@ -251,19 +230,17 @@
         if not self.open:
             return
         node = self.node
-        out = node.datagrams, node.calls
-        node.datagrams, node.calls = [], []
+        actions = node.take_actions()
         if self.state_file is not None and (self.writing or node.durable_state is not self.written_state):
             # A promise is kept before it is given: guards against a restart that forgets it.
-            self.deferred.append(out)
+            self.deferred.append(actions)
             if not self.writing:
                 self.writing = True
                 self._spawn(self._write_state())
         else:
-            self._send_out(*out)
-        told, node.events = node.events, []
-        for event in told:
-            self._emit(event.name, event.values)
+            self._send_out(actions)
+        for event in actions.events:
+            self._emit(event)
         if (active_relays := node.active_relays()) != self.active_relays:
             self.active_relays = active_relays
             self.on_active_relays(active_relays)
@@ -276,7 +253,8 @@
         wait = min(60.0, max(0.0, node.due - self.clock()))
         self.timer = self.loop.call_later(wait, self._wake)
 
-    def _emit(self, name: str, values: dict[str, Any]) -> None:
+    def _emit(self, event: Event) -> None:
+        name, values = event.name, event.values
         if name == events.FLEET_REFUSED:
             if values["why"] == self.last_refusal:
                 return
@@ -313,12 +291,12 @@
             return
         finally:
             self.writing = False
-        held, self.deferred = self.deferred, []
-        for out in held:
-            self._send_out(*out)
+        deferred, self.deferred = self.deferred, []
+        for actions in deferred:
+            self._send_out(actions)
 
-    def _send_out(self, datagrams: list[tuple[Address, m.Packet]], calls: list[Call]) -> None:
-        for address, packet in datagrams:
+    def _send_out(self, actions: Actions) -> None:
+        for address, packet in actions.datagrams:
             data = self.seal.put(m.encode(packet))
             if len(data) > m.MAX_DATAGRAM:
                 self.counts["too_long"] += 1
@@ -329,7 +307,7 @@
                 self.counts["bytes_out"] += len(data)
             except OSError:  # as if it was lost
                 self.counts["unsent"] += 1
-        for call in calls:
+        for call in actions.calls:
             self._spawn(self._call(call))
 
     # Datagrams.
@@ -495,12 +473,3 @@
                 raise EOFError
             data += got
         return bytes(data)
-
-
-def _health(node: Node, name: str) -> str:
-    watched = node.detector.watched.get(name)
-    return "ended" if name in node.ended_members else "unknown" if watched is None else watched.health.value
-
-
-def _age(now: float, at: float) -> float | None:
-    return None if at == float("-inf") else round(now - at, 3)
--- /dev/null
+++ b/violetdoor/fleet/handover.py
@@ -0,0 +1,103 @@
+"""Two processes of one relay: what makes it the member that it is, from the one to the other. Without I/O."""
+
+from __future__ import annotations
+
+import math
+
+from violetdoor import events
+from violetdoor.fleet import messages as m
+from violetdoor.fleet.context import MemberState, NodeContext
+from violetdoor.fleet.departures import Departures
+from violetdoor.fleet.heartbeat import Heartbeat
+from violetdoor.fleet.joining import Joining
+from violetdoor.fleet.lease import Lease
+from violetdoor.fleet.membership import Membership
+from violetdoor.fleet.packets import Packets
+from violetdoor.fleet.prior_leases import PriorLeases
+from violetdoor.fleet.proposer import Proposer
+from violetdoor.fleet.seal import Window
+
+
+class Handover:
+    """Exports the state of a node's parts, and imports it into those of another process."""
+
+    def __init__(
+        self, context: NodeContext, departures: Departures, prior_leases: PriorLeases, heartbeat: Heartbeat,
+        membership: Membership, proposer: Proposer, joining: Joining, packets: Packets,
+    ) -> None:  # fmt: skip
+        self.context, self.departures, self.prior_leases = context, departures, prior_leases
+        self.heartbeat, self.membership, self.proposer = heartbeat, membership, proposer
+        self.joining, self.packets = joining, packets
+
+    def export_state(self) -> m.HandoverState:
+        """All that makes this relay the member that it is; this process sends nothing more as it."""
+        context = self.context
+        context.update_durable_state()
+        return m.HandoverState(
+            process=context.process,
+            me=context.me,
+            state=context.state.value,
+            started=context.started,
+            durable_state=None if context.view is None else context.durable_state,
+            latest_view=context.latest_view,
+            last_epoch=context.last_epoch,
+            last_seq=context.last_seq,
+            lease=None if context.lease is None else context.lease.export_state(),
+            last_heartbeat=self.heartbeat.last_joined_at,
+            prior_views=tuple(self.prior_leases.prior_views),
+            live=context.live,
+            incarnation=context.detector.incarnation,
+            packet_count=self.packets.sent,
+            entries=tuple(context.map.entries.values()),
+            clock=context.map.clock.last,
+            replay_windows=tuple(
+                m.SenderWindow(name, instance, window.newest)
+                for (name, instance), window in self.packets.windows.items()
+            ),
+            readmissions=tuple(self.joining.readmissions.values()),
+            left_instances=tuple(self.departures.left_instances),
+            reported_views=tuple(m.ReportedView(*one) for one in self.prior_leases.reported_views.items()),
+            ended_members=tuple(self.departures.ended_members),
+            leaving=tuple(self.proposer.leaving),
+        )
+
+    def import_state(self, state: m.HandoverState, now: float) -> None:
+        """Go on as the member that the process before this one was, on the same machine and clock."""
+        context = self.context
+        context.process, context.started = state.process, state.started
+        context.adopt_identity(state.me)
+        context.detector.incarnation = state.incarnation
+        context.state = MemberState(state.state)
+        context.latest_view = state.latest_view
+        context.last_epoch, context.last_seq = state.last_epoch, state.last_seq
+        context.live = state.live
+        context.map.merge(state.entries, context.unix_ms(), context.view_size())
+        context.map.clock.seen(state.clock)
+        self._import_parts(state)
+        context.durable_state = state.durable_state
+        if state.durable_state is not None:
+            self._import_view(state.durable_state, state.lease, now)
+
+    def _import_parts(self, state: m.HandoverState) -> None:
+        self.heartbeat.last_joined_at = state.last_heartbeat
+        self.packets.sent = state.packet_count
+        self.packets.windows = {(w.name, w.instance): Window(w.newest) for w in state.replay_windows}
+        self.joining.readmissions = {one.name: one for one in state.readmissions}
+        self.prior_leases.prior_views = list(state.prior_views)
+        self.prior_leases.reported_views = {one.name: one.view for one in state.reported_views}
+        self.departures.left_instances = dict.fromkeys(state.left_instances)
+        self.departures.ended_members = set(state.ended_members)
+        self.proposer.leaving = set(state.leaving)
+
+    def _import_view(self, durable: m.DurableState, lease: m.LeaseState | None, now: float) -> None:
+        context, view = self.context, durable.view
+        context.view = view
+        self.membership.resume(durable, now)
+        if lease is not None:
+            context.lease = Lease(len(view.members), view.places[context.plan.name], context.random)
+            context.lease.import_state(lease)
+        if context.state is MemberState.RECOVERING:
+            self.proposer.request_own_return()
+        expires_at = -math.inf if context.lease is None else context.lease.expires_at
+        left = round(max(0.0, expires_at - now), 3)
+        context.outbox.emit(events.FLEET_HANDED, view=context.view_text(), lease=left)
--- a/violetdoor/fleet/lease.py
+++ b/violetdoor/fleet/lease.py
@@ -19,7 +19,7 @@
 import math
 from random import Random
 
-from violetdoor.fleet.messages import LeaseState, Round
+from violetdoor.fleet.messages import JoinedRound, LeaseState, Round
 
 LEASE_DURATION = 3.0  # s: four rounds, so that two lost ones, or a second's pause, cost nobody its lease
 ROUND_INTERVAL = 0.75  # s from one round's start to the next
@@ -56,7 +56,7 @@
         joined, before = pack_bitmap(self.joined, self.size), pack_bitmap(self.before, self.size)
         return LeaseState(
             self.expires_at, self.not_before, self.frozen, self.number, self.starter, joined, before,
-            tuple(self.joins.items()), self.round_seen_at,
+            tuple(JoinedRound(number, at) for number, at in self.joins.items()), self.round_seen_at,
         )  # fmt: skip
 
     def import_state(self, state: LeaseState) -> None:
@@ -65,7 +65,7 @@
         self.number, self.starter, self.round_seen_at = state.number, state.starter, state.round_seen_at
         self.joined = unpack_bitmap(state.joined, self.size)
         self.before = unpack_bitmap(state.before, self.size)
-        self.joins = dict(state.joins)
+        self.joins = {joined.number: joined.at for joined in state.joins}
 
     @property
     def majority(self) -> int:
--- a/violetdoor/fleet/messages.py
+++ b/violetdoor/fleet/messages.py
@@ -298,6 +298,13 @@
     accepted: Change | None = None
 
 
+class JoinedRound(Struct, frozen=True, array_like=True):
+    """When a relay joined a round of heartbeats."""
+
+    number: int
+    at: float
+
+
 class LeaseState(Struct, frozen=True, array_like=True):
     """Where a relay stands in its view's heartbeats; times of the machine's clock."""
 
@@ -308,10 +315,40 @@
     starter: int
     joined: bytes
     before: bytes
-    joins: tuple[tuple[int, float], ...]
+    joins: tuple[JoinedRound, ...]
     round_seen_at: float
 
 
+class PriorView(Struct, frozen=True, array_like=True):
+    """A view whose leases may still hold, none where it is not known, and when the next was installed."""
+
+    view: View | None
+    replaced_at: float
+
+
+class SenderWindow(Struct, frozen=True, array_like=True):
+    """The highest count that was seen in the packets of one life of a relay."""
+
+    name: str
+    instance: int
+    newest: int
+
+
+class Readmission(Struct, frozen=True, array_like=True):
+    """A process that was taken out, and when it was let in again; -inf where it was not."""
+
+    name: str
+    process: int
+    at: float
+
+
+class ReportedView(Struct, frozen=True, array_like=True):
+    """The view that a member last said it stands at."""
+
+    name: str
+    view: ViewId
+
+
 class HandoverState(Struct, frozen=True, array_like=True):
     """All that makes a relay the member that it is, for the process that goes on as it on this machine."""
 
@@ -325,16 +362,16 @@
     last_seq: int
     lease: LeaseState | None
     last_heartbeat: float
-    prior_views: tuple[tuple[View | None, float], ...]
+    prior_views: tuple[PriorView, ...]
     live: bool
     incarnation: int
     packet_count: int
     entries: tuple[Entry, ...]
     clock: Stamp
-    replay_windows: tuple[tuple[str, int, int], ...]
-    readmissions: tuple[tuple[str, int, float], ...]
+    replay_windows: tuple[SenderWindow, ...]
+    readmissions: tuple[Readmission, ...]
     left_instances: tuple[int, ...]
-    reported_views: tuple[tuple[str, ViewId], ...]
+    reported_views: tuple[ReportedView, ...]
     ended_members: tuple[str, ...]
     leaving: tuple[str, ...]
 
--- /dev/null
+++ b/violetdoor/fleet/outbox.py
@@ -0,0 +1,90 @@
+"""What a node wants its driver to do: send datagrams, make calls, report events. Without input or output."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any, NamedTuple
+
+from violetdoor.fleet import messages as m
+from violetdoor.fleet.view import Address
+
+CALL_TIMEOUT = 0.5  # s that a call may take
+
+
+class Datagram(NamedTuple):
+    """One packet and where it goes."""
+
+    address: Address
+    packet: m.Packet
+
+
+@dataclass(slots=True, frozen=True)
+class Call:
+    """A request over TCP to be made; `number` comes back with its answer."""
+
+    number: int
+    address: Address
+    request: m.Request
+    within: float = CALL_TIMEOUT
+
+
+@dataclass(slots=True, frozen=True)
+class Event:
+    """Something that operators and tests want to know."""
+
+    name: str
+    values: dict[str, Any]
+
+
+class Actions(NamedTuple):
+    """All that is to be done since it was last asked for."""
+
+    datagrams: list[Datagram]
+    calls: list[Call]
+    events: list[Event]
+
+
+@dataclass(slots=True, frozen=True)
+class OpenCall:
+    """A call without an answer yet; `name` and `probe` are of the member that it probes, if it does."""
+
+    request: m.Request
+    name: str
+    probe: int
+
+
+class Outbox:
+    """Collects messages, calls and events of all parts of a node until the driver takes them."""
+
+    def __init__(self) -> None:
+        self.messages: dict[str, list[m.Message]] = {}  # by receiver; made into packets at the end of a step
+        self.open_calls: dict[int, OpenCall] = {}
+        self._datagrams: list[Datagram] = []
+        self._calls: list[Call] = []
+        self._events: list[Event] = []
+        self._last_call = 0
+
+    def queue(self, name: str, message: m.Message) -> None:
+        """Send a message to a relay with this step's packet."""
+        self.messages.setdefault(name, []).append(message)
+
+    def send(self, address: Address, packet: m.Packet) -> None:
+        """Send a packet."""
+        self._datagrams.append(Datagram(address, packet))
+
+    def call(self, address: Address, request: m.Request, name: str = "", probe: int = 0) -> int:
+        """Make a call; returns its number."""
+        self._last_call += 1
+        self.open_calls[self._last_call] = OpenCall(request, name, probe)
+        self._calls.append(Call(self._last_call, address, request))
+        return self._last_call
+
+    def emit(self, name: str, **values: Any) -> None:
+        """Report an event."""
+        self._events.append(Event(name, values))
+
+    def take_actions(self) -> Actions:
+        """Hand over all that is to be done, and start anew."""
+        actions = Actions(self._datagrams, self._calls, self._events)
+        self._datagrams, self._calls, self._events = [], [], []
+        return actions
--- /dev/null
+++ b/violetdoor/fleet/packets.py
@@ -0,0 +1,133 @@
+"""Making packets, and dropping those that are repeated or meant for another. Without input or output."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+from violetdoor.fleet import messages as m
+from violetdoor.fleet.context import NodeContext
+from violetdoor.fleet.departures import Departures
+from violetdoor.fleet.seal import Window
+from violetdoor.fleet.view import MAX_MEMBERS, Address, View
+
+MAX_SENDERS = 2 * MAX_MEMBERS  # whose counts are remembered against repeats
+# Messages so short that all that a packet may have of them leave room for rumors and news.
+SHORT_MESSAGES = m.Ping | m.Ack | m.Nack | m.PingFor | m.Accepted | m.Refused | m.Prepare | m.Leaving
+
+
+class Dropped(Enum):
+    """Why a packet was dropped; the values are seen by operators."""
+
+    REPEATED = "repeated"
+    FOR_ANOTHER = "for another"
+    STRANGER = "stranger"
+
+
+@dataclass(slots=True, frozen=True)
+class Source:
+    """Where a life that is no member was heard from."""
+
+    address: Address
+    instance: int
+
+
+class Packets:
+    """The packets of one node, out and in."""
+
+    def __init__(self, context: NodeContext, departures: Departures) -> None:
+        self.context, self.departures = context, departures
+        self.sent = 0  # each packet has its count, against repeats
+        self.windows: dict[tuple[str, int], Window] = {}  # by name and instance of the sender
+        self.peer_versions: dict[str, int] = {}  # the newest message version that each understands
+        self.sources: dict[str, Source] = {}  # lives outside the view
+        self.dropped: dict[Dropped, int] = dict.fromkeys(Dropped, 0)
+
+    # In.
+
+    def refuse(self, packet: m.Packet) -> Dropped | None:
+        """Why to drop a packet, if it is to be dropped; counts it."""
+        why = self._reason_to_drop(packet)
+        if why is not None:
+            self.dropped[why] += 1
+        return why
+
+    def _reason_to_drop(self, packet: m.Packet) -> Dropped | None:
+        me = self.context.me
+        if packet.to != self.context.plan.name or packet.to_instance not in (0, me.instance):
+            return Dropped.FOR_ANOTHER
+        if packet.name == self.context.plan.name:
+            return Dropped.STRANGER
+        sender = packet.name, packet.instance
+        if sender not in self.windows:
+            if len(self.windows) >= MAX_SENDERS:
+                return Dropped.STRANGER
+            self.windows[sender] = Window()
+        return None if self.windows[sender].take(packet.count) else Dropped.REPEATED
+
+    def record_source(self, packet: m.Packet, address: Address) -> None:
+        """Somebody who is no member spoke: an answer goes to just that life, where it came from."""
+        self.sources.pop(packet.name, None)
+        self.sources[packet.name] = Source(address, packet.instance)
+        while len(self.sources) > MAX_MEMBERS:
+            del self.sources[next(iter(self.sources))]
+
+    # Out.
+
+    def address_of(self, name: str) -> Address | None:
+        """Where a member, or whoever was heard of that name, is reached."""
+        if (peer := self.context.member(name)) is not None:
+            return peer.address
+        source = self.sources.get(name)
+        return None if source is None else source.address
+
+    def send_queued(self, now: float) -> None:
+        """Make a packet for each relay that something is to be sent to."""
+        outbox = self.context.outbox
+        queued, outbox.messages = outbox.messages, {}
+        for name, messages in queued.items():
+            if (address := self.address_of(name)) is not None:
+                outbox.send(address, self._packet(name, tuple(messages), now))
+
+    def _instance_meant(self, name: str, messages: tuple[m.Message, ...]) -> int:
+        """The life that a packet is for; 0 for whoever is there now."""
+        if any(isinstance(one, m.Ping) and one.instance == 0 for one in messages):
+            return 0
+        if name in self.sources:
+            return self.sources[name].instance
+        member = self.context.member(name)
+        # A life that is over is asked by name alone: whoever is there now is to answer.
+        return 0 if member is None or name in self.departures.ended_members else member.instance
+
+    def _packet(self, name: str, messages: tuple[m.Message, ...], now: float) -> m.Packet:
+        context, view, lease = self.context, self.context.view, self.context.lease
+        plan, detector = context.plan, context.detector
+        meant = self._instance_meant(name, messages)
+        version = min(plan.version, self.peer_versions.get(name, m.OLDEST))
+        bulky = _is_bulky(messages)  # leaves no room for what others are told, too
+        self.sent += 1
+        return m.Packet(
+            version, plan.version, plan.name, context.me.instance, name, meant, self.sent,
+            None if view is None else view.id, 0 if view is None else len(view.members), context.may_act(now),
+            detector.incarnation, None if lease is None else lease.current_round(), context.map.digest,
+            () if bulky else detector.pick_rumors(name), () if bulky else context.map.pick_news(), messages,
+            plan.zone if version >= 2 else "",
+        )  # fmt: skip
+
+    # Views.
+
+    def view_installed(self, old: View | None, view: View, now: float) -> None:
+        """Keep what belongs to the members of the view."""
+        living = {(p.name, p.instance) for p in view.members}
+        self.windows = {sender: w for sender, w in self.windows.items() if sender in living}
+        self.peer_versions = {n: v for n, v in self.peer_versions.items() if n in view.places}
+        self.sources = {n: s for n, s in self.sources.items() if n not in view.places}
+
+    def view_left(self, now: float) -> None:
+        """Nothing: those that spoke to this relay are answered as before."""
+
+
+def _is_bulky(messages: tuple[m.Message, ...]) -> bool:
+    if all(isinstance(one, SHORT_MESSAGES) for one in messages):
+        return False
+    return len(m.encode(messages)) > m.BULKY_MESSAGES
--- a/violetdoor/fleet/service.py
+++ b/violetdoor/fleet/service.py
@@ -11,13 +11,14 @@
 from http import HTTPStatus
 from pathlib import Path
 
+import msgspec
 import orjson
 
 from violetdoor.config import ConfigError
 from violetdoor.console.server import Answer
 from violetdoor.fleet.endpoint import Fleet
 from violetdoor.fleet.messages import HandoverState, encode, handover_states
-from violetdoor.fleet.node import Plan
+from violetdoor.fleet.node import ForceRefusedError, Plan
 from violetdoor.fleet.seal import KeyFileError, read_key
 from violetdoor.fleet.state_file import StateFileError
 from violetdoor.maintenance.service import Maintenance
@@ -143,7 +144,7 @@
             return None
         match method, path[1:]:
             case "GET", []:
-                status = orjson.dumps(self.fleet.status(), option=orjson.OPT_INDENT_2)
+                status = orjson.dumps(msgspec.to_builtins(self.fleet.status()), option=orjson.OPT_INDENT_2)
                 return HTTPStatus.OK, status.decode() + "\n"
             case "GET", ["owns", key]:
                 view = self.fleet.view
@@ -151,8 +152,10 @@
                     return HTTPStatus.OK, f"{view.id}\n"
                 return HTTPStatus.CONFLICT, "not this relay's\n"
             case "PUT", ["force"]:
-                if why := self.fleet.force():
-                    return HTTPStatus.CONFLICT, f"refused: {why}\n"
+                try:
+                    self.fleet.force()
+                except ForceRefusedError as err:
+                    return HTTPStatus.CONFLICT, f"refused: {err}\n"
                 return HTTPStatus.OK, "asked those that are reached to go on\n"
             case "PUT", ["leave"]:
                 self.fleet.leave()
--- a/violetdoor/fleet/swim.py
+++ b/violetdoor/fleet/swim.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 from random import Random
+from typing import NamedTuple
 
 from violetdoor.fleet import messages as m
 from violetdoor.fleet.seal import spread
@@ -73,6 +74,27 @@
     until: float
 
 
+class Outgoing(NamedTuple):
+    """A message to a member."""
+
+    name: str
+    message: m.Message
+
+
+class TcpProbe(NamedTuple):
+    """A member that is to be asked over TCP, and the number of the probe that this belongs to."""
+
+    name: str
+    seq: int
+
+
+class DeathProof(NamedTuple):
+    """A life that another member knows to be over for certain."""
+
+    name: str
+    instance: int
+
+
 class Detector:
     """Watches the members of the present view. Times in s; `out` holds what is to be sent: to whom, what."""
 
@@ -91,9 +113,9 @@
         self.periods = 0
         self.woken = now
         self.rumors: dict[str, tuple[m.Rumor, int]] = {}  # by member, with how often it is still told
-        self.out: list[tuple[str, m.Message]] = []
-        self.tcp_probes: list[tuple[str, int]] = []  # members to be asked over TCP, with the probe's number
-        self.death_proofs: list[tuple[str, int]] = []  # lives that others know to be over for sure
+        self.out: list[Outgoing] = []
+        self.tcp_probes: list[TcpProbe] = []
+        self.death_proofs: list[DeathProof] = []
         self.changed = False  # somebody's health has changed since this was last looked at
 
     # Members.
@@ -185,7 +207,7 @@
         for seq, relayed in list(self.relayed_probes.items()):
             if now >= relayed.until:
                 del self.relayed_probes[seq]
-                self.out.append((relayed.origin, m.Nack(relayed.seq)))
+                self.out.append(Outgoing(relayed.origin, m.Nack(relayed.seq)))
         for probe in self.probes:
             if not probe.asked and now >= probe.began + self._patience:
                 self._ask_others(probe)
@@ -207,12 +229,12 @@
             self._send_probe(self.order.pop(), now)
         if self.periods % DEAD_PROBE_EVERY == 0 and (gone := self.dead()):
             self.seq += 1
-            self.out.append((self.random.choice(gone), m.Ping(self.seq)))
+            self.out.append(Outgoing(self.random.choice(gone), m.Ping(self.seq)))
 
     def _send_probe(self, name: str, now: float) -> None:
         self.seq += 1
         self.probes.append(Probe(self.seq, name, now))
-        self.out.append((name, m.Ping(self.seq, self.watched[name].peer.instance)))
+        self.out.append(Outgoing(name, m.Ping(self.seq, self.watched[name].peer.instance)))
 
     def probe_now(self, name: str, now: float) -> None:
         """Probe a member out of turn: somebody holds it for dead."""
@@ -224,8 +246,8 @@
         others = [n for n, w in self.watched.items() if n != probe.name and w.health is Health.ALIVE]
         helpers = self.random.sample(others, min(INDIRECT_PROBES, len(others)))
         probe.nacks, probe.helped = len(helpers), bool(helpers)
-        self.out += [(name, m.PingFor(probe.seq, probe.name)) for name in helpers]
-        self.tcp_probes.append((probe.name, probe.seq))
+        self.out += [Outgoing(name, m.PingFor(probe.seq, probe.name)) for name in helpers]
+        self.tcp_probes.append(TcpProbe(probe.name, probe.seq))
 
     def _expire_probes(self, now: float) -> None:
         """The period is over: what has had time enough and no answer is suspected."""
@@ -254,7 +276,7 @@
             self._alive(w, incarnation)
 
     def ping(self, name: str, ping: m.Ping) -> None:
-        self.out.append((name, m.Ack(ping.seq, self.me.instance)))
+        self.out.append(Outgoing(name, m.Ack(ping.seq, self.me.instance)))
 
     def ack(self, name: str, ack: m.Ack, now: float) -> None:
         """An answer; of another life than the one that is watched it proves that this one is over."""
@@ -271,7 +293,7 @@
                 self._health(-1)
                 return
         if (relayed := self.relayed_probes.pop(ack.seq, None)) is not None:
-            self.out.append((relayed.origin, m.Ack(relayed.seq, 0)))
+            self.out.append(Outgoing(relayed.origin, m.Ack(relayed.seq, 0)))
 
     def confirm_dead(self, name: str, now: float, proved: bool = False) -> None:
         """A member's life is over for sure: its relay has begun another, and its silence is no fault here."""
@@ -296,7 +318,7 @@
         self.relayed_probes[self.seq] = RelayedProbe(
             origin, asked.seq, now + INDIRECT_PROBE_AFTER * PROBE_PERIOD
         )
-        self.out.append((asked.name, m.Ping(self.seq, w.peer.instance)))
+        self.out.append(Outgoing(asked.name, m.Ping(self.seq, w.peer.instance)))
 
     def nack(self, nack: m.Nack) -> None:
         for probe in self.probes:
@@ -316,7 +338,7 @@
         if w is None or w.peer.instance != rumor.instance:
             return
         if rumor.state == m.CONFIRMED_DEAD:
-            self.death_proofs.append((rumor.name, rumor.instance))
+            self.death_proofs.append(DeathProof(rumor.name, rumor.instance))
         elif rumor.state == m.ALIVE:
             if rumor.incarnation > w.incarnation:
                 self._alive(w, rumor.incarnation)
--- a/violetdoor/fleet/view.py
+++ b/violetdoor/fleet/view.py
@@ -14,6 +14,8 @@
 MAX_JOINS = 48  # taken in by one change, if their names leave room
 EPOCH_RANDOM_BITS = 16
 
+Address = tuple[str, int]  # host and port, as the socket API has them
+
 
 class Peer(Struct, frozen=True, array_like=True):
     """One life of one relay as a member.
@@ -31,6 +33,11 @@
     process: int = 0
     since: int = 0
 
+    @property
+    def address(self) -> Address:
+        """Where other relays reach it."""
+        return self.host, self.port
+
 
 class Change(Struct, frozen=True, array_like=True):
     """From one view to the next: members by their place in the view before, and who enters."""
