A failed call for the list and the next one fit into one budget of 6 s

Cause: the module waited up to half of askWithin after a failed call, whatever time that call had taken, and a second silent watch in a row got that back-off on top of its 5 s; a call's time began behind its connect (1.0 + 1.9 s).

Checked: with the draw pinned to its maximum a given-up call, its back-off and a slow answer took over 6 s at every askWithin; a silent watch twice running was opened anew only behind the back-off.

Change: latest_call in net/discovery is the one sum; the failed list event carries what is left of it (call_within), the module draws within that. A silent watch is opened anew at once each time; one failed answer behind it is asked for again at once. A call's time includes its connect.

--- a/lynxdeck/interface.py
+++ b/lynxdeck/interface.py
@@ -131,6 +131,7 @@
     kind: ListKind
     entries: tuple[ServerEntry, ...] = ()
     version: int = 0
+    call_within: float = math.inf  # ms in which the call behind a failed one has to begin
 
 
 @dataclass(slots=True, frozen=True)
--- a/lynxdeck/policy.py
+++ b/lynxdeck/policy.py
@@ -114,7 +114,7 @@
     def list_changed(self, event: i.ServerList) -> None:
         self.list_calls = (self.list_calls + 1) * (self.settings.ask_list and event.kind.stale)
         if self.list_calls:  # all ask one service: spread the calls by its rate, back off, stay in time
-            most, spread = self.settings.ask_within / 2, CALL * self.settings.nodes
+            most, spread = min(self.settings.ask_within / 2, event.call_within), CALL * self.settings.nodes
             wait = min(max(most / 2, min(most, spread)), max(500.0, spread) * 2**self.list_calls)
             self.out.append(i.SetTimer("list", self.now + wait * self.random.random()))
         for entry in event.entries:
--- /dev/null
+++ b/tests/test_list_budget.py
@@ -0,0 +1,204 @@
+"""A change counts as told 6 s after discovery had it and could be reached, whatever failed before.
+
+The relay's core and its watch run here with the longest back-off that the module may draw, on real connections.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Awaitable, Callable, Iterator
+from dataclasses import replace
+
+import pytest
+import uvloop
+from helpers import Node
+from standins import GateServer, Reader, Writer, until
+from test_core import unix_ms
+from test_watch import Breaking
+
+from violetdoor.core import Controller
+from violetdoor.net import discovery as module
+from violetdoor.net.counters import Counters
+from violetdoor.net.discovery import Directory, Watch
+from violetdoor.net.sockets import parse_address
+
+WHOLE_TIME = module.LIST_TIMEOUT - 0.1  # s that the answer takes which ends the trouble
+SILENCE = module.HOLD_MS / 1000 + module.WATCH_GRACE
+
+
+class Slow(Breaking):
+    """A discovery that is slow with its answers from the `slow_from`th call on."""
+
+    def __init__(self, *servers: GateServer, slow_from: int = 1) -> None:
+        super().__init__(*servers)
+        self.slow_from = slow_from
+
+    async def serve(self, reader: Reader, writer: Writer) -> None:
+        if self.calls >= self.slow_from:
+            await asyncio.sleep(WHOLE_TIME)
+        await super().serve(reader, writer)
+
+
+class Relay:
+    """The parts of a relay that follow the list; its back-off is the longest that may be drawn."""
+
+    def __init__(self, address: str) -> None:
+        settings = replace(Node().settings, ask_list=True, ask_within=60_000.0, nodes=200)
+        self.core, self.counts = Controller(settings, 1, unix_ms), Counters()
+        self.core.balancer.random.random = lambda: 1.0  # type: ignore[method-assign]
+        self.watch = Watch(parse_address(address), Directory(), self.core.listed, self.counts)
+        self.core.follow = self.watch.follow
+
+    async def failed(self, times: int) -> float:
+        """Wait for so many failed calls; when the last was seen, s of the loop."""
+        await until(lambda: self.counts["discovery_failed"] >= times)
+        return asyncio.get_running_loop().time()
+
+    async def has_list(self) -> float:
+        """Wait for a list; when it was had, s of the loop."""
+        await until(lambda: self.core.entries)
+        return asyncio.get_running_loop().time()
+
+
+@contextlib.contextmanager
+def closed_port() -> Iterator[tuple[str, int]]:
+    """An address that refuses connections and stays this test's own."""
+    with socket.socket() as held:
+        held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        held.bind(("127.0.0.1", 0))
+        yield held.getsockname()
+
+
+async def refused() -> float:
+    """The call is refused in the moment before discovery listens again."""
+    with closed_port() as address:
+        relay = Relay("{}:{}".format(*address))
+        relay.watch.follow()
+        reachable = await relay.failed(1)
+        server = GateServer()
+        async with server:
+            back = Slow(server, slow_from=0)
+            sock = socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+            sock.bind(address)
+            async with await asyncio.start_server(back._take, sock=sock):
+                return await relay.has_list() - reachable
+
+
+async def never_came_up() -> float:
+    """Its first packet is lost in the moment before discovery is reachable; it is refused afterwards."""
+    with socket.create_server(("127.0.0.1", 0), backlog=0) as full:
+        filling = socket.create_connection(full.getsockname())  # the queue's one place
+        relay = Relay("{}:{}".format(*full.getsockname()))
+        reachable = asyncio.get_running_loop().time()
+        relay.watch.follow()
+        await relay.failed(1)
+        filling.close()
+        full.accept()[0].close()
+        full.setblocking(False)
+        back = Slow(slow_from=0)
+        async with GateServer() as server:
+            back.states = {server.address: "up"}
+            async with await asyncio.start_server(back._take, sock=full.dup()):
+                return await relay.has_list() - reachable
+
+
+async def spoilt(way: str) -> float:
+    """A call for the whole list falls silent, or its answer is cut; the next takes all its time."""
+    async with GateServer() as server, Slow(server) as discovery:
+        discovery.spoil = {0: way}
+        relay = Relay(discovery.address)
+        reachable = asyncio.get_running_loop().time()
+        relay.watch.follow()
+        return await relay.has_list() - reachable
+
+
+async def moved_then_cut() -> float:
+    """New settings move discovery while a back-off runs, and its first answer there is cut."""
+    async with GateServer() as server, Slow(server) as discovery:
+        discovery.spoil = {0: "cut"}
+        with closed_port() as address:
+            relay = Relay("{}:{}".format(*address))
+            relay.watch.follow()
+            await relay.failed(1)
+            reachable = asyncio.get_running_loop().time()
+            relay.watch.go_over(parse_address(discovery.address))
+            return await relay.has_list() - reachable
+
+
+TROUBLES: dict[str, Callable[[], Awaitable[float]]] = {
+    "refused": refused,
+    "never came up": never_came_up,
+    "silent": lambda: spoilt("silent"),
+    "cut": lambda: spoilt("cut"),
+    "moved, then cut": moved_then_cut,
+}
+
+
+@pytest.mark.parametrize("trouble", TROUBLES)
+def test_the_longest_back_off_and_a_slow_answer_stay_in_the_budget(trouble: str) -> None:
+    async def test() -> None:
+        async with asyncio.timeout(30):
+            took = await TROUBLES[trouble]()
+        assert took <= module.TOLD_WITHIN
+        assert took > module.LIST_TIMEOUT + 1.0  # the back-off is spread as wide as the budget allows
+
+    uvloop.run(test())
+
+
+async def watched(discovery: Breaking, spoil: dict[int, str]) -> Relay:
+    """A relay whose watch is open on a list of one version; calls from the second on are spoilt."""
+    discovery.spoil = spoil
+    relay = Relay(discovery.address)
+    relay.watch.follow()
+    await until(lambda: len(discovery.called) >= 2)
+    return relay
+
+
+def test_a_watch_that_falls_silent_twice_running_is_opened_anew_at_once_each_time() -> None:
+    async def test() -> None:
+        async with GateServer() as server, Breaking(server) as discovery:
+            await watched(discovery, {1: "silent", 2: "silent"})
+            await until(lambda: len(discovery.called) >= 4)
+            _, first, second, third = discovery.called[:4]
+            assert second - first < SILENCE + 0.5 and third - second < SILENCE + 0.5
+
+    uvloop.run(test())
+
+
+def test_a_cut_answer_behind_a_silent_watch_is_asked_for_again_in_time() -> None:
+    """What the silent watch missed counts 6 s after it fell silent: there is no time for a back-off."""
+
+    async def test() -> None:
+        async with GateServer() as server, Breaking(server) as discovery:
+            relay = await watched(discovery, {1: "silent", 2: "cut"})
+            discovery.tell(server, "draining")
+            await until(lambda: any(e.state.value == "draining" for e in relay.core.entries.values()))
+            assert asyncio.get_running_loop().time() - discovery.called[1] <= module.TOLD_WITHIN
+            assert len(discovery.called) >= 4
+
+    uvloop.run(test())
+
+
+def test_a_discovery_that_cuts_every_answer_is_not_called_in_a_loop() -> None:
+    """One call at once behind a silent watch, then the back-off."""
+
+    async def test() -> None:
+        async with GateServer() as server, Breaking(server) as discovery:
+            relay = await watched(discovery, {1: "silent"} | dict.fromkeys(range(2, 100), "cut"))
+            discovery.tell(server, "draining")  # so that no call waits
+            await relay.failed(3)
+            await asyncio.sleep(0.3)
+            assert len(discovery.called) == 4
+
+    uvloop.run(test())
+
+
+def test_the_budget_is_one_sum() -> None:
+    since = 100.0
+    latest = module.latest_call(since)
+    assert latest + module.LIST_TIMEOUT < since + module.TOLD_WITHIN
+    assert latest > since + module.LIST_TIMEOUT  # a call that was given up leaves time for a spread
+    assert SILENCE < module.TOLD_WITHIN - 0.5  # a silent watch is known in time for another call
--- a/violetdoor/net/discovery.py
+++ b/violetdoor/net/discovery.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import logging
+import math
 import random
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 from typing import Any
 
 import httptools
@@ -22,7 +24,11 @@
 # for the watch to be opened anew and to tell.
 WATCH_GRACE = 1.0
 LIST_TIMEOUT = 1.9  # s for a call that does not wait: under the 2 s after which all counts as told
-CONNECT_TIMEOUT = 1.0
+CONNECT_TIMEOUT = 1.0  # s, of the call's time
+# The budget of a failed call: what discovery has while the call fails counts as told TOLD_WITHIN later. The
+# failed call, the back-off, the next call with all its time and a margin for late wake-ups have to fit in.
+TOLD_WITHIN = 6.0  # s
+MARGIN = 0.2  # s
 # s until an agent on the own machine, whose calls cost nothing, is asked again after a failure: so soon that
 # the watch goes on (200 ms), then longer, or one that is gone would keep this process busy.
 PUSHED_AGAIN, PUSHED_AGAIN_MOST = 0.05, 0.5
@@ -39,10 +45,28 @@
     """The connection came up and brought no whole answer in time."""
 
 
+class UnreachableError(DiscoveryError):
+    """No connection came up."""
+
+
 WRONG_ENTRY = (ValueError, KeyError, TypeError, AttributeError)
 CALL_FAILED = (OSError, DiscoveryError, httptools.HttpParserError, *WRONG_ENTRY)
 
 
+def latest_call(missed_since: float) -> float:
+    """By when the next call has to begin if changes may be untold since then; both in s of the loop."""
+    return missed_since + TOLD_WITHIN - LIST_TIMEOUT - MARGIN
+
+
+@dataclass(slots=True, frozen=True)
+class Failure:
+    """A call that brought no list."""
+
+    missed_since: float  # s of the loop; changes that discovery had from then on may be untold
+    silent_watch: bool = False  # a call that waits for a change fell silent
+    unreachable: bool = False  # discovery was not there to tell anything
+
+
 class Directory:
     """The addresses of the servers that the list has named."""
 
@@ -129,15 +153,21 @@
 
 
 async def call(address: Address, query: str, within: float) -> bytes:
-    """Ask for the list; the answer's body. SilentError if it is not whole so many seconds after the connect.
+    """Ask for the list; the answer's body.
+
+    UnreachableError if no connection comes up, SilentError if the answer is not whole in `within` seconds.
 
     Each call has a connection of its own. Guards against what one that is kept can bring: an end while it
     rests, or bytes behind the answer before.
     """
     host = f"{address[0]}:{address[1]}"
-    sock = await connect(address, CONNECT_TIMEOUT)
+    until = asyncio.get_running_loop().time() + within
+    try:
+        sock = await connect(address, min(CONNECT_TIMEOUT, within))
+    except OSError as err:
+        raise UnreachableError(str(err) or "no connection came up in time") from err
     try:
-        async with asyncio.timeout(within):
+        async with asyncio.timeout_at(until):
             head = f"GET /api/targets{query} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n"
             await send_parts(sock, [head.encode()])
             answer, buffer = _Answer(), bytearray(16 * 1024)
@@ -204,20 +234,34 @@
             await asyncio.gather(self._task, return_exceptions=True)
 
     async def _run(self) -> None:
-        wait = PUSHED_AGAIN
+        loop = asyncio.get_running_loop()
+        wait, silent_since = PUSHED_AGAIN, -math.inf
         while True:
-            if await self._once():
-                wait = PUSHED_AGAIN
+            failure = await self._once()
+            if failure is None:
+                wait, silent_since = PUSHED_AGAIN, -math.inf
                 continue
+            missed_since, silent_since = silent_since, -math.inf
+            # Guards against a back-off behind a watch that fell silent: what it missed counts as told before
+            # that is over. Discovery itself is not known to be down.
+            if failure.silent_watch:
+                silent_since = failure.missed_since
+                continue
+            if not failure.unreachable and loop.time() < missed_since + TOLD_WITHIN:
+                continue  # the call that opened it anew failed at once: one more is still in time
             if not self.pushed:
+                # The module asks again in its own time: it spreads the calls of many relays and backs off.
+                left = max(0.0, latest_call(failure.missed_since) - loop.time())
+                self.deliver(i.ServerList(i.ListKind.REFUSED, call_within=left * 1000))
                 return
             await asyncio.sleep(wait * random.uniform(0.5, 1.0))
             wait = min(PUSHED_AGAIN_MOST, 2 * wait)
 
-    async def _once(self, again: bool = True) -> bool:
-        """Call once, deliver the answer; whether the watch goes on. `again`: a silent one is opened anew."""
+    async def _once(self) -> Failure | None:
+        """Call once and deliver the answer, or say how the call failed."""
         self.counts["discovery_calls"] += 1
-        version = self.directory.version
+        loop = asyncio.get_running_loop()
+        began, version = loop.time(), self.directory.version
         # Guards against asking for the whole list again and again while its version is 0.
         query = "" if version is None or self._whole else f"?from={version}&hold_ms={HOLD_MS}"
         try:
@@ -228,14 +272,10 @@
         except CALL_FAILED as err:
             self.counts["discovery_failed"] += 1
             log.warning("discovery call failed: %s %s", type(err).__name__, err)
-            # Guards against the module's back-off behind a watch that fell silent: what that missed counts as
-            # told before the back-off is over. Discovery itself is not known to be down.
-            if again and query and isinstance(err, SilentError):
-                return await self._once(again=False)
-            # The module asks again in its own time: it spreads the calls of many relays and backs off.
-            if not self.pushed:
-                self.deliver(i.ServerList(i.ListKind.REFUSED))
-            return False
+            silent, unreachable = isinstance(err, SilentError), isinstance(err, UnreachableError)
+            told_until_now = bool(query) and not silent and not unreachable  # a watch tells up to its break
+            since = loop.time() if told_until_now else began
+            return Failure(since, silent_watch=silent and bool(query), unreachable=unreachable)
         if version is not None and servers.version < version and not servers.kind.whole:
             # Guards against one that started anew behind the list that is known: its changes since then are
             # not all that it has to tell, so the whole list is asked for.
@@ -247,4 +287,4 @@
         except Exception:  # one entry that the module can't take must not end the watch for good
             self.counts["faults"] += 1
             log.exception("the list could not be taken in")
-        return True
+        return None
