--- a/tests/test_clients_leave.py
+++ b/tests/test_clients_leave.py
@@ -280,7 +280,7 @@
                 self.gone.set_result(None)
                 return i.Result.OK
 
-        session = Sudden(around, LineSocket(ours))  # type: ignore[arg-type]
+        session = Sudden(around, LineSocket(ours))
         opening: Any = SimpleNamespace(
             cls="feed", time_left=300.0, tenant="t", key=1, load=None, group=None, repeat=False, again=False
         )
@@ -301,7 +301,7 @@
             async def try_server(self, *_: Any) -> i.Result:
                 raise AssertionError("it began")
 
-        session = Watched(around, LineSocket(ours))  # type: ignore[arg-type]
+        session = Watched(around, LineSocket(ours))
         session.gone.set_result(None)
         assert await session.attempt(None, i.Send(1, "s0", 0.0)) is i.Result.CANCELLED  # type: ignore[arg-type]
 
--- a/violetdoor/core/delays.py
+++ b/violetdoor/core/delays.py
@@ -2,17 +2,24 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from statistics import median
-from typing import TYPE_CHECKING
-
-if TYPE_CHECKING:
-    from violetdoor.core.controller import Ticket
+from typing import Protocol, TypeVar
 
 WINDOW = 1_000.0  # ms between two notes on one server
 MOST = 64  # samples kept of one window
 
 
+class Timed(Protocol):
+    """A connection whose class has an aim for its messages, in ms."""
+
+    message_aim: float
+
+
+TimedConnection = TypeVar("TimedConnection", bound=Timed)
+
+
 @dataclass(slots=True)
 class ServerDelay:
     """The message times of one server in this window."""
@@ -59,6 +66,6 @@
         return told
 
 
-def carrier(tickets: dict[int, Ticket]) -> Ticket | None:
+def carrier(tickets: Mapping[int, TimedConnection]) -> TimedConnection | None:
     """The connection that carries a server's note: that of the class with the shortest message aim."""
     return min(tickets.values(), key=lambda t: t.message_aim, default=None)
--- a/violetdoor/fleet/endpoint.py
+++ b/violetdoor/fleet/endpoint.py
@@ -26,8 +26,8 @@
 from violetdoor.fleet.seal import SEAL, Seal
 from violetdoor.fleet.state_file import StateFile
 from violetdoor.fleet.status import FleetStatus
-from violetdoor.fleet.streams import MessageHandler
-from violetdoor.fleet.view import MAX_MEMBERS, View
+from violetdoor.fleet.streams import MessageHandler, OpenedCall
+from violetdoor.fleet.view import MAX_MEMBERS, Peer, View
 from violetdoor.net.sockets import connect, end, listen
 
 log = logging.getLogger("violetdoor.fleet")
@@ -137,6 +137,11 @@
         """The view that this relay stands at."""
         return self.node.view if self.node.state is MemberState.MEMBER else None
 
+    @property
+    def me(self) -> Peer:
+        """The life of this relay."""
+        return self.node.me
+
     def may_act(self) -> bool:
         """Whether this relay's lease holds at this moment."""
         return self.node.may_act(self.clock())
@@ -359,18 +364,17 @@
     async def _exchange(self, call: Call) -> m.Answer:
         sock = await connect(self._routed(call.address), call.within)
         try:
-            _, answer = await self.begin_call(sock, call.request)
-            return answer
+            return (await self.begin_call(sock, call.request)).answer
         finally:
             end(sock)
 
-    async def begin_call(self, sock: socket.socket, request: m.Request) -> tuple[bytes, m.Answer]:
-        """Say a request on a fresh connection; its two numbers, which bind what follows, and the answer."""
+    async def begin_call(self, sock: socket.socket, request: m.Request) -> OpenedCall:
+        """Send a request on a fresh connection. Raises OSError, EOFError or ValueError where that fails."""
         mine = os.urandom(NONCE_BYTES)
         await self.loop.sock_sendall(sock, mine)
         both = mine + await self._read_exactly(sock, NONCE_BYTES)
         await self._send_frame(sock, m.encode(request), b"asked" + both)
-        return both, m.answers.decode(await self._read_frame(sock, b"answered" + both))
+        return OpenedCall(both, m.answers.decode(await self._read_frame(sock, b"answered" + both)))
 
     def _routed(self, address: Address) -> Address:
         """Where an address is reached from here: that of a relay that has a route."""
--- a/violetdoor/fleet/streams.py
+++ b/violetdoor/fleet/streams.py
@@ -12,14 +12,13 @@
 import socket
 from collections import Counter, deque
 from collections.abc import Callable
-from typing import TYPE_CHECKING
+from typing import NamedTuple, Protocol
 
 from violetdoor.fleet import messages as m
+from violetdoor.fleet.seal import Seal
+from violetdoor.fleet.view import Address, Peer, View
 from violetdoor.net.sockets import connect, end
 
-if TYPE_CHECKING:
-    from violetdoor.fleet.endpoint import Fleet
-
 MAX_QUEUE = 4 << 20  # bytes that wait for one relay; beyond it nothing more is taken
 MAX_BATCH = 256 * 1024  # bytes joined into one write
 CONNECT_TIMEOUT = 0.5  # s
@@ -27,8 +26,33 @@
 IDLE_TIMEOUT = 30.0  # s without a message after which a stream is closed
 RETRY_INTERVAL = 0.1  # s between two attempts to reach a relay
 
-Address = tuple[str, int]
-MessageHandler = Callable[[str, int, bytes], None]  # name and life of who says it, and what
+MessageHandler = Callable[[str, int, bytes], None]  # name and life of the sender, and the message
+
+
+class OpenedCall(NamedTuple):
+    """A connection over which a request was answered."""
+
+    binding: bytes  # the numbers of both sides: what follows on this connection is sealed with them
+    answer: m.Answer
+
+
+class StreamHost(Protocol):
+    """The relay that streams begin and end at."""
+
+    seal: Seal
+    routes: dict[str, Address]
+    channels: dict[str, MessageHandler]
+
+    @property
+    def view(self) -> View | None:
+        """The view that it stands at."""
+
+    @property
+    def me(self) -> Peer:
+        """Its life."""
+
+    async def begin_call(self, sock: socket.socket, request: m.Request) -> OpenedCall:
+        """Send a request on a fresh connection."""
 
 
 class Stream:
@@ -63,12 +87,12 @@
             return
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT):
-                opening = m.OpenStream(fleet.node.me.name, fleet.node.me.instance, self.streams.channel)
-                both, answer = await fleet.begin_call(sock, opening)
-            if not isinstance(answer, m.Alive) or answer.instance != self.life:
+                opening = m.OpenStream(fleet.me.name, fleet.me.instance, self.streams.channel)
+                opened = await fleet.begin_call(sock, opening)
+            if not isinstance(opened.answer, m.Alive) or opened.answer.instance != self.life:
                 return
             self.streams.counts["streams_opened"] += 1
-            await self._pump(sock, both)
+            await self._pump(sock, opened.binding)
         except (OSError, EOFError, ValueError):
             self.streams.counts["streams_broke"] += 1
         finally:
@@ -99,7 +123,7 @@
 class Streams:
     """All streams of one channel: those that this relay opens, and what comes on others'."""
 
-    def __init__(self, fleet: Fleet, channel: str, heard: MessageHandler) -> None:
+    def __init__(self, fleet: StreamHost, channel: str, heard: MessageHandler) -> None:
         self.fleet, self.channel, self.heard = fleet, channel, heard
         self.on_refused: Callable[[str, int], None] = lambda name, life: None
         self.counts: Counter[str] = Counter()
--- a/violetdoor/fronts/line/session.py
+++ b/violetdoor/fronts/line/session.py
@@ -7,7 +7,7 @@
 import logging
 import re
 from collections.abc import Mapping
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from lynxdeck import interface as i
 from violetdoor.core import Left, Ticket
@@ -24,7 +24,18 @@
 )
 
 if TYPE_CHECKING:
-    from violetdoor.fronts.line.front import LineFront
+    import socket
+    from collections import deque
+
+    from violetdoor.core import Controller
+    from violetdoor.fronts.line.notes import Notes
+    from violetdoor.fronts.line.options import LineOptions
+    from violetdoor.net.acceptor import Acceptor
+    from violetdoor.net.counters import Counters
+    from violetdoor.net.discovery import Directory
+    from violetdoor.net.figures import Figures
+    from violetdoor.overload.gate import Gate
+    from violetdoor.rules.force import Rules
 
 log = logging.getLogger("violetdoor.line")
 
@@ -39,10 +50,46 @@
 LEFT_LOOK = 0.1  # s between two looks for a client's end behind a full buffer; seen within 0.3
 
 
+class Front(Protocol):
+    """What a session uses of the front that took its client in; `LineFront` is one."""
+
+    core: Controller
+    directory: Directory
+    counts: Counters
+    figures: Figures
+    options: LineOptions
+    acceptor: Acceptor
+    notes: Notes
+    rules: Rules | None
+    gate: Gate | None
+    deadlines: dict[str, float]  # ms, by class
+    tenants: frozenset[str]
+    connect_timeout: float  # s
+    idle: float  # s that a client may take for its first line after a check
+    leave_retry: int  # ms after which a client may come again while the program leaves
+    leaving: bool
+    adopt_until: float  # ms of the core's clock until which connections of an earlier run come back
+    returns: deque[float]  # when clients came that were moved or broke
+    standing: set[Session]
+
+    @property
+    def succeeded(self) -> bool:
+        """Whether another process takes this relay's clients."""
+
+    def rule(self, opening: Opening, sock: socket.socket) -> None:
+        """Let the rules say what a request is."""
+
+    def take_id(self, number: int) -> bool:
+        """Whether this id is new; it counts as seen from now on."""
+
+    def end_id(self, number: int) -> None:
+        """The connection of this id is over."""
+
+
 class Session:
     """The life of one client's connection."""
 
-    def __init__(self, front: LineFront, client: LineSocket) -> None:
+    def __init__(self, front: Front, client: LineSocket) -> None:
         self.front, self.core, self.client = front, front.core, client
         self.server: LineSocket | None = None
         self.ticket: Ticket | None = None
--- a/violetdoor/fronts/nats/front.py
+++ b/violetdoor/fronts/nats/front.py
@@ -7,7 +7,6 @@
 import math
 import os
 import socket
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -17,7 +16,7 @@
 from violetdoor.core.spread import due
 from violetdoor.fronts.nats.frames import Frame, error
 from violetdoor.fronts.nats.link import DeniedError
-from violetdoor.fronts.nats.session import Session
+from violetdoor.fronts.nats.session import Session, Who
 from violetdoor.net.acceptor import Acceptor
 from violetdoor.net.counters import Counters
 from violetdoor.net.discovery import Directory
@@ -41,16 +40,6 @@
     tenants: dict[str, tuple[str, str]] = msgspec.field(default_factory=dict)  # user, or *: tenant and class
 
 
-@dataclass(slots=True, frozen=True)
-class Who:
-    """What a client counts as."""
-
-    tenant: str
-    cls: str
-    group: int | None = None
-    key: int | None = None
-
-
 class NatsFront:
     """The listening socket of the NATS protocol and the sessions of its clients."""
 
--- a/violetdoor/fronts/nats/session.py
+++ b/violetdoor/fronts/nats/session.py
@@ -11,7 +11,8 @@
 import logging
 import socket
 from collections.abc import Awaitable
-from typing import TYPE_CHECKING, TypeVar
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any, Protocol, TypeVar
 
 import orjson
 
@@ -25,7 +26,13 @@
 from violetdoor.net.sockets import connect
 
 if TYPE_CHECKING:
-    from violetdoor.fronts.nats.front import NatsFront, Who
+    from violetdoor.core import Controller
+    from violetdoor.net.acceptor import Acceptor
+    from violetdoor.net.counters import Counters
+    from violetdoor.net.discovery import Directory
+    from violetdoor.net.figures import Figures
+    from violetdoor.overload.gate import Gate
+    from violetdoor.settings import Nats
 
 log = logging.getLogger("violetdoor.nats")
 
@@ -40,10 +47,46 @@
 PASSED_ON = ("permissions violation", "invalid subject", "maximum subscriptions")  # errors that close nothing
 
 
+@dataclass(slots=True, frozen=True)
+class Who:
+    """What a client counts as."""
+
+    tenant: str
+    cls: str
+    group: int | None = None
+    key: int | None = None
+
+
+class Front(Protocol):
+    """What a session uses of the front that took its client in; `NatsFront` is one."""
+
+    core: Controller
+    directory: Directory
+    counts: Counters
+    figures: Figures
+    acceptor: Acceptor
+    gate: Gate | None
+    deadlines: dict[str, float]  # ms, by class
+
+    @property
+    def options(self) -> Nats:
+        """What an operator may set."""
+
+    @property
+    def looks_ahead(self) -> bool:
+        """Whether the rules read the first operation behind a CONNECT."""
+
+    def info(self, number: int) -> bytes:
+        """The INFO line for the client of this number."""
+
+    def who(self, connect: dict[str, Any], first: Frame | None, sock: socket.socket) -> Who:
+        """What a client is. Raises DeniedError where it is not let in."""
+
+
 class Session:
     """The life of one NATS client."""
 
-    def __init__(self, front: NatsFront, sock: socket.socket, number: int) -> None:
+    def __init__(self, front: Front, sock: socket.socket, number: int) -> None:
         self.front, self.core, self.options, self.counts = front, front.core, front.options, front.counts
         self.number, self.loop = number, asyncio.get_running_loop()
         self.sock = sock
--- a/violetdoor/match/types.py
+++ b/violetdoor/match/types.py
@@ -7,9 +7,9 @@
 
 from __future__ import annotations
 
-import socket
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from socket import AF_INET, AF_INET6, inet_ntop, inet_pton
 from typing import Any
 
 INT_LOW, INT_HIGH = -(1 << 63), (1 << 63) - 1
@@ -99,8 +99,8 @@
     """An address in its packed form, or None if the text is none; an IPv4 address inside IPv6 is IPv4."""
     try:
         if ":" not in text:
-            return socket.inet_pton(socket.AF_INET, text)
-        address = socket.inet_pton(socket.AF_INET6, text)
+            return inet_pton(AF_INET, text)
+        address = inet_pton(AF_INET6, text)
     except (OSError, ValueError):
         return None
     return address[12:] if address.startswith(MAPPED) else address
@@ -108,7 +108,7 @@
 
 def written(address: bytes) -> str:
     """A packed address as text."""
-    return socket.inet_ntop(socket.AF_INET if len(address) == 4 else socket.AF_INET6, address)
+    return inet_ntop(AF_INET if len(address) == 4 else AF_INET6, address)
 
 
 def fitting(text: Any, most: int) -> str | None:
