A NATS client that has left is not presented; both fronts look before the first byte

Cause: while a session has no server its operations are held back and nothing is read, so a client's end behind them was not seen; nothing looked for it before CONNECT, neither when a server's INFO came late nor at a next server.

Change: NATS looks (POLLRDHUP) before an attempt and right before CONNECT, and each 0.05 s while operations are held back; the line front's look is as often.

--- a/tests/test_clients_leave.py
+++ b/tests/test_clients_leave.py
@@ -306,3 +306,42 @@
         assert await session.attempt(None, i.Send(1, "s0", 0.0)) is i.Result.CANCELLED  # type: ignore[arg-type]
 
     uvloop.run(test())
+
+
+def tcp_pair() -> tuple[socket.socket, socket.socket]:
+    """Two ends of one TCP connection."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        near = socket.create_connection(listener.getsockname())
+        far = listener.accept()[0]
+    near.setblocking(False)
+    return near, far
+
+
+@pytest.mark.parametrize("lines", LINES)
+@pytest.mark.parametrize("how", ["end", "reset", "half"])
+def test_the_last_look_is_right_before_the_first_byte(how: str, lines: str) -> None:
+    """Its server's connection comes up late, the client leaves in that moment, and nobody was awake between."""
+
+    async def test() -> None:
+        ours, client = tcp_pair()
+        up, server = tcp_pair()
+        core = controller(1)
+        around = SimpleNamespace(core=core, counts=Counters())
+        session = Session(around, LineSocket(ours))  # type: ignore[arg-type]
+        client.sendall(LINES[lines])
+        if how == "half":
+            client.shutdown(socket.SHUT_WR)
+        else:
+            if how == "reset":
+                client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            client.close()
+        choice = i.Send(1, "s0", core.now() + 1000)
+        opening: Any = None  # not even looked at
+        assert await session.exchange(opening, LineSocket(up), choice, False) is i.Result.CANCELLED
+        server.setblocking(False)
+        with pytest.raises(BlockingIOError):
+            server.recv(1)
+        for sock in (ours, client, up, server):
+            sock.close()
+
+    uvloop.run(test())
--- a/tests/test_nats.py
+++ b/tests/test_nats.py
@@ -6,6 +6,8 @@
 import contextlib
 import json
 import signal
+import socket
+import struct
 import subprocess
 import sys
 from collections import Counter
@@ -378,3 +380,105 @@
     )  # fmt: skip
     assert done.returncode == 2 and done.stdout == ""
     assert len(done.stderr.splitlines()) == 1 and names in done.stderr and "Traceback" not in done.stderr
+
+
+class LateGreeting(NatsServer):
+    """Sends its INFO when the test says so; a server that turns clients away then says that first."""
+
+    def __init__(self, away: bytes = b"") -> None:
+        super().__init__()
+        self.away, self.greeting = away, asyncio.Event()
+
+    async def serve(self, reader: Reader, writer: Writer) -> None:
+        await self.greeting.wait()
+        if self.away:
+            writer.write(self.away)
+            return
+        await super().serve(reader, writer)
+
+
+LEAVES = (
+    "end",
+    "reset",
+    "half",
+    "end behind operations",
+    "reset behind operations",
+    "half behind operations",
+)
+
+
+def leave(client: Client, how: str) -> None:
+    """End a client's connection, with operations before the end that are not read while there is no server."""
+    sock = client.writer.get_extra_info("socket")
+    if how.startswith("half"):
+        client.writer.write_eof()
+    elif how.startswith("reset"):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        client.writer.transport.abort()
+    else:
+        client.writer.close()
+
+
+async def waiting(it: Relay, *servers: LateGreeting, how: str) -> Client:
+    """A client that is being placed at one of these."""
+    client = await Client.connect(it, user="app")
+    if "behind" in how:
+        client.publish("one")
+        client.publish("two")
+    await client.writer.drain()
+    await until(lambda: any(s.accepted for s in servers))
+    return client
+
+
+@pytest.mark.parametrize("how", LEAVES)
+def test_a_client_that_left_is_not_presented_to_a_server_that_greets_late(tmp_path: Path, how: str) -> None:
+    async def test() -> None:
+        async with LateGreeting() as server, front(tmp_path, server) as it:
+            client = await waiting(it, server, how=how)
+            leave(client, how)
+            await asyncio.sleep(0)  # the transport closes its socket in the next round of this loop
+            server.greeting.set()
+            async with asyncio.timeout(1):
+                while (await it.counters()).get("nats_attempt_cancelled", 0) < 1:
+                    await asyncio.sleep(0.01)
+            assert not server.connects
+
+    run(test)
+
+
+@pytest.mark.parametrize("how", LEAVES)
+def test_a_client_that_left_is_not_presented_to_the_next_server(tmp_path: Path, how: str) -> None:
+    async def test() -> None:
+        away = b"INFO {}\r\n-ERR 'maximum connections exceeded'\r\n"
+        async with (
+            LateGreeting(away) as one, LateGreeting(away) as two,
+            front(tmp_path, one, two, discovery='console = "127.0.0.1:0"') as it,
+        ):  # fmt: skip
+            client = await waiting(it, one, two, how=how)
+            first, second = (one, two) if one.accepted else (two, one)
+            leave(client, how)
+            await asyncio.sleep(0)
+            first.greeting.set()
+            second.greeting.set()
+            async with asyncio.timeout(10):
+                while (await it.figures())["active"]:
+                    await asyncio.sleep(0.01)
+            assert not second.accepted
+
+    run(test)
+
+
+@pytest.mark.parametrize("how", LEAVES)
+def test_a_client_that_leaves_while_nothing_is_there_is_seen_in_time(tmp_path: Path, how: str) -> None:
+    """Its server says nothing at all: the session ends with the client, not with its deadline."""
+
+    async def test() -> None:
+        async with LateGreeting() as server, front(tmp_path, server, deadline=30_000) as it:
+            client = await waiting(it, server, how=how)
+            left = asyncio.get_running_loop().time()
+            leave(client, how)
+            while (await it.counters()).get("nats_attempt_cancelled", 0) < 1:
+                await asyncio.sleep(0.005)
+            assert asyncio.get_running_loop().time() - left < 0.3
+
+    run(test)
--- a/violetdoor/fronts/line/session.py
+++ b/violetdoor/fronts/line/session.py
@@ -14,6 +14,7 @@
 from violetdoor.fronts.line.opening import Opening, RuledOutError, SyntaxFaultError, parse
 from violetdoor.fronts.line.reports import load_report
 from violetdoor.net.sockets import (
+    LEFT_LOOK,
     LINE_MOST,
     LineSocket,
     LineTooLongError,
@@ -36,7 +37,6 @@
 # passed on for a connection that stands, something like BUSY be taken for the word that nothing ever ran.
 UP = re.compile(rb"UP [!-~][ -~]*\r\n")
 BUSY = re.compile(rb"BUSY(?: [!-~]+)?\r\n")
-LEFT_LOOK = 0.1  # s between two looks for a client's end behind a full buffer; seen within 0.3
 
 
 class Session:
--- a/violetdoor/fronts/nats/link.py
+++ b/violetdoor/fronts/nats/link.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -60,8 +61,11 @@
             return 0.0
         return asyncio.get_running_loop().time() - max(self.reader.heard, self.pings[0].sent_at)
 
-    async def greet(self, connect: bytes) -> i.Result:
-        """Present the client; up once the server has answered a PING."""
+    async def greet(self, connect: bytes, left: Callable[[], bool]) -> i.Result:
+        """Present the client; up once the server has answered a PING.
+
+        `left` says whether the client has ended: a server's INFO can come late, and then it gets no CONNECT.
+        """
         try:
             while (frame := await self.reader.frame()) is not None:
                 match frame.op:
@@ -69,6 +73,8 @@
                         self.read_info(frame.args[0])
                         if self.info.get("tls_required") or self.info.get("ldm"):
                             return i.Result.FULL  # nothing was sent to it
+                        if not self.presented and left():
+                            return i.Result.CANCELLED
                         if not self.presented:
                             self.out.put(connect + b"PING\r\n")
                             self.presented = True
--- a/violetdoor/fronts/nats/session.py
+++ b/violetdoor/fronts/nats/session.py
@@ -22,7 +22,7 @@
 from violetdoor.fronts.nats.link import DeniedError, Link
 from violetdoor.fronts.nats.state import Journal, Subscription
 from violetdoor.net.outbox import Outbox, SlowReaderError
-from violetdoor.net.sockets import connect
+from violetdoor.net.sockets import LEFT_LOOK, connect, ended
 
 if TYPE_CHECKING:
     from violetdoor.fronts.nats.front import NatsFront, Who
@@ -189,6 +189,8 @@
                     return None, "Placement Timeout" if late else "Maximum Connections Exceeded"
                 case i.Send():
                     link, result = await self.attempt(choice)
+                    if result is i.Result.CANCELLED:
+                        self.end(LEFT)
                     self.counts[f"nats_attempt_{result.value}"] += 1
                     if link is not None:
                         self.counts["nats_placed"] += 1
@@ -200,8 +202,20 @@
                         ticket.left()
                     ticket.ended(result)
 
+    @property
+    def left(self) -> bool:
+        """Whether the client has ended; its end may still stand behind operations that were not read."""
+        return self.gone.done() or ended(self.sock)
+
+    def end(self, error: str) -> None:
+        """The client's part is over, with this text of an -ERR or LEFT."""
+        if not self.gone.done():
+            self.gone.set_result(error)
+
     async def attempt(self, choice: i.Send) -> tuple[Link | None, i.Result]:
         """Try one server: it is up once it has answered a PING after the client's CONNECT."""
+        if self.left:
+            return None, i.Result.CANCELLED
         left = (choice.give_up - self.core.now()) / 1000
         address = self.front.directory.addresses.get(choice.server)
         if address is None or left <= 0:
@@ -217,7 +231,7 @@
                 return None, i.Result.UNREACHABLE
             left = (choice.give_up - self.core.now()) / 1000
             async with asyncio.timeout(left):
-                result = await self.unless_gone(link.greet(self.upstream_connect))
+                result = await self.unless_gone(link.greet(self.upstream_connect, lambda: self.left))
             if link.info.get("ldm"):
                 self.core.drains(choice.server)
             if link.denied:
@@ -417,7 +431,8 @@
         frame: Frame | None = first
         try:
             while frame is not None:
-                await self.may_operate(frame)
+                if not await self.may_operate(frame):
+                    break
                 self.operate(frame)
                 await self.hold_back()
                 frame = await self.next_frame()
@@ -431,8 +446,7 @@
             log.exception("a client's operation failed")
             last = "Internal Error"
         finally:
-            if not self.gone.done():
-                self.gone.set_result(last)
+            self.end(last)
 
     async def next_frame(self) -> Frame | None:
         """Read on; a client that says nothing is asked for a sign of life and then given up."""
@@ -448,10 +462,19 @@
         finally:
             waker.cancel()
 
-    async def may_operate(self, frame: Frame) -> None:
-        """Wait for a server where the operation needs one; what only changes the session's state does not."""
+    async def may_operate(self, frame: Frame) -> bool:
+        """Wait for a server where the operation needs one; what only changes the session's state does not.
+
+        False if the client ends meanwhile. Guards against an end that stands behind operations that are not
+        read while there is no server: the session would be placed for nobody.
+        """
         while self.link is None and (frame.op in ("PUB", "HPUB") or self.pings_owed >= PINGS_OWED_MOST):
-            await self.linked.wait()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(LEFT_LOOK):
+                    await self.linked.wait()
+            if self.link is None and ended(self.sock):
+                return False
+        return True
 
     async def hold_back(self) -> None:
         """Let the client wait while much of what it published is unconfirmed or unwritten."""
--- a/violetdoor/net/sockets.py
+++ b/violetdoor/net/sockets.py
@@ -11,6 +11,7 @@
 
 LINE_MOST = 4096  # bytes of one line, its CRLF included
 BACKLOG = 1024
+LEFT_LOOK = 0.05  # s between two looks for an end behind unread bytes; no attempt may begin 0.1 s behind it
 ENDED = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 UNREAD, UNREAD_MOST = 16 * 1024, 64 * 1024  # bytes thrown away at a close: in one read, in all
 Address = tuple[str, int]
