--- a/tests/test_clients_leave.py
+++ b/tests/test_clients_leave.py
@@ -327,7 +327,7 @@
         up, server = tcp_pair()
         core = controller(1)
         around = SimpleNamespace(core=core, counts=Counters())
-        session = Session(around, LineSocket(ours))  # type: ignore[arg-type]
+        session = Session(around, LineSocket(ours))
         client.sendall(LINES[lines])
         if how == "half":
             client.shutdown(socket.SHUT_WR)
