Frames between relays have a module of their own, a typed error and tests

Cause: the framing of calls and streams stood twice, in endpoint and streams, raised bare ValueErrors, and no test opened a stream. fleet/frames.py makes and takes frames without input or output, raises FrameError (a ValueError, so callers catch what they did); the bytes on the wire are as before.

--- /dev/null
+++ b/tests/test_fleet_streams.py
@@ -0,0 +1,100 @@
+"""Streams between two relays on loopback, and the frames that they are made of."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from standins import run
+
+from violetdoor.fleet import messages as m
+from violetdoor.fleet.endpoint import Fleet
+from violetdoor.fleet.frames import FrameError, StreamReader, StreamWriter
+from violetdoor.fleet.messages import MAX_FRAME
+from violetdoor.fleet.node import Plan
+from violetdoor.fleet.seal import Seal
+from violetdoor.fleet.streams import MessageHandler, OpenedCall, Streams
+from violetdoor.fleet.view import Address, Peer, View
+
+KEY = b"0123456789abcdef"
+BINDING = b"b" * 32
+
+
+@given(st.lists(st.binary(max_size=200), max_size=8), st.integers(1, 64))
+def test_messages_come_out_of_a_stream_as_they_went_in_however_it_is_cut(
+    bodies: list[bytes], cut: int
+) -> None:
+    writer, reader = StreamWriter(Seal(KEY), BINDING), StreamReader(Seal(KEY), BINDING)
+    data = b"".join(writer.frame(body) for body in bodies)
+    parts = [data[n : n + cut] for n in range(0, len(data), cut)]
+    # A body of no bytes has no frame: its seal alone is no message.
+    if b"" in bodies:
+        with pytest.raises(FrameError):
+            [list(reader.feed(part)) for part in parts]
+    else:
+        assert [body for part in parts for body in reader.feed(part)] == bodies
+
+
+@pytest.mark.parametrize("harm", ["left out", "repeated", "swapped", "changed", "too long", "another key"])
+def test_a_stream_whose_messages_are_not_as_they_were_sent_is_a_fault(harm: str) -> None:
+    writer = StreamWriter(Seal(KEY if harm != "another key" else KEY[::-1]), BINDING)
+    one, two, three = (writer.frame(body) for body in (b"one", b"two", b"three"))
+    frames = {
+        "left out": [one, three], "repeated": [one, one], "swapped": [two, one], "another key": [one],
+        "changed": [one[:4] + bytes((one[4] ^ 1,)) + one[5:]], "too long": [(MAX_FRAME + 1).to_bytes(4, "big")],
+    }  # fmt: skip
+    reader = StreamReader(Seal(KEY), BINDING)
+    with pytest.raises(FrameError):
+        list(reader.feed(b"".join(frames[harm])))
+
+
+class Caller:
+    """The calling relay: a member of a view with the other one, on the sockets of a `Fleet`."""
+
+    def __init__(self, fleet: Fleet, other: Peer) -> None:
+        self.fleet, self.seal = fleet, fleet.seal
+        self.routes: dict[str, Address] = {}
+        self.channels: dict[str, MessageHandler] = {}
+        self.view = View(1, 1, (fleet.me, other))
+        self.me = fleet.me
+
+    async def begin_call(self, sock: socket.socket, request: m.Request) -> OpenedCall:
+        return await self.fleet.begin_call(sock, request)
+
+
+def test_messages_reach_another_relay_in_order_and_a_relay_that_is_gone_is_told(tmp_path: Path) -> None:
+    async def test() -> None:
+        fleets = [Fleet(Plan(name, "127.0.0.1", 0), ("127.0.0.1", 0), KEY) for name in ("r0", "r1")]
+        here, there = fleets
+        there.start()
+        got: list[tuple[str, int, bytes]] = []
+        arrived = asyncio.Event()
+
+        def heard(name: str, life: int, data: bytes) -> None:
+            got.append((name, life, data))
+            if data == b"last":
+                arrived.set()
+
+        Streams(there, "news", heard)
+        other = Peer("r1", there.me.instance, *there.address)
+        streams = Streams(Caller(here, other), "news", lambda *_: None)
+        sent = [b"%d" % n * 1000 for n in range(500)] + [b"last"]
+        assert all(streams.send("r1", data) for data in sent) and not streams.send("r2", b"x")
+        await asyncio.wait_for(arrived.wait(), 5.0)
+        assert got == [("r0", here.me.instance, data) for data in sent]
+        assert streams.counts["streams_opened"] == 1
+        await streams.close()
+        there.stop()
+
+        gone = asyncio.Event()
+        again = Streams(Caller(here, other), "news", lambda *_: None)
+        again.on_refused = lambda name, life: gone.set() if (name, life) == ("r1", other.instance) else None
+        assert again.send("r1", b"x")
+        await asyncio.wait_for(gone.wait(), 5.0)
+        await again.close()
+
+    run(test)
--- a/violetdoor/fleet/endpoint.py
+++ b/violetdoor/fleet/endpoint.py
@@ -22,8 +22,16 @@
 
 from violetdoor import events
 from violetdoor.fleet import messages as m
+from violetdoor.fleet.frames import (
+    LENGTH_BYTES,
+    NONCE_BYTES,
+    StreamReader,
+    frame_length,
+    opened_frame,
+    sealed_frame,
+)
 from violetdoor.fleet.node import Actions, Address, Call, Event, MemberState, Node, Plan
-from violetdoor.fleet.seal import SEAL, Seal
+from violetdoor.fleet.seal import Seal
 from violetdoor.fleet.state_file import StateFile
 from violetdoor.fleet.status import FleetStatus
 from violetdoor.fleet.streams import MessageHandler, OpenedCall
@@ -32,7 +40,6 @@
 
 log = logging.getLogger("violetdoor.fleet")
 
-NONCE_BYTES, LENGTH_BYTES = 16, 4  # bytes of a side's number, and of a message's length before it
 MAX_DATAGRAMS_PER_TURN = 32  # datagrams read in one round of the loop: others have their turn
 MAX_INBOUND_CALLS = 64  # calls that are served at a time
 MAX_INBOUND_STREAMS = MAX_MEMBERS + 64  # that come in: one of each member, and some of lives that are over
@@ -354,7 +361,7 @@
                 answer = await self._exchange(call)
         except ConnectionRefusedError:
             refused = True
-        except (OSError, EOFError, ValueError):  # msgspec's faults are such, too
+        except (OSError, EOFError, ValueError):  # FrameError, and msgspec's
             pass
         if self.open:
             self.counts["calls_failed"] += answer is None
@@ -380,7 +387,7 @@
         """Where an address is reached from here: that of a relay that has a route."""
         known = self.node.view.members if self.node.view is not None else ()
         for peer in known:
-            if (peer.host, peer.port) == address and peer.name in self.routes:
+            if peer.address == address and peer.name in self.routes:
                 return self.routes[peer.name]
         return address
 
@@ -419,7 +426,7 @@
                     await self._send_frame(sock, m.encode(answer), b"answered" + both)
             if isinstance(request, m.OpenStream) and heard is not None:
                 await self._stream(sock, request, both, heard)
-        except ValueError:  # msgspec's faults are such, too
+        except ValueError:  # FrameError, and msgspec's
             self.counts["dropped_call"] += 1
         except (OSError, EOFError):
             self.counts["calls_broke"] += 1
@@ -433,41 +440,21 @@
         """Hand a stream's messages on until it ends."""
         self.inbound_calls -= 1  # it is no caller that goes soon: streams are bounded by the members
         self.inbound_streams += 1
-        buffer, count = bytearray(), 0
+        reader = StreamReader(self.seal, both)
         try:
             while data := await self.loop.sock_recv(sock, READ_CHUNK):
-                buffer += data
-                start = 0
-                while len(buffer) - start >= LENGTH_BYTES:
-                    length = int.from_bytes(buffer[start : start + LENGTH_BYTES], "big")
-                    if not SEAL < length <= m.MAX_FRAME:
-                        raise ValueError("a length that no message has")
-                    if len(buffer) - start < LENGTH_BYTES + length:
-                        break
-                    sealed = memoryview(buffer)[start + LENGTH_BYTES : start + LENGTH_BYTES + length]
-                    body = self.seal.off(sealed, b"stream" + both + count.to_bytes(8, "big"))
-                    sealed.release()
-                    if body is None:
-                        raise ValueError("a seal that is not this fleet's")
-                    start, count = start + LENGTH_BYTES + length, count + 1
+                for body in reader.feed(data):
                     heard(opening.name, opening.instance, body)
-                del buffer[:start]
         finally:
             self.inbound_calls += 1
             self.inbound_streams -= 1
 
     async def _send_frame(self, sock: socket.socket, body: bytes, context: bytes) -> None:
-        data = self.seal.put(body, context)
-        await self.loop.sock_sendall(sock, len(data).to_bytes(LENGTH_BYTES, "big") + data)
+        await self.loop.sock_sendall(sock, sealed_frame(self.seal, body, context))
 
     async def _read_frame(self, sock: socket.socket, context: bytes) -> bytes:
-        length = int.from_bytes(await self._read_exactly(sock, LENGTH_BYTES), "big")
-        if not SEAL < length <= m.MAX_FRAME:
-            raise ValueError("a length that no message has")
-        body = self.seal.off(await self._read_exactly(sock, length), context)
-        if body is None:
-            raise ValueError("a seal that is not this fleet's")
-        return body
+        length = frame_length(await self._read_exactly(sock, LENGTH_BYTES))
+        return opened_frame(self.seal, await self._read_exactly(sock, length), context)
 
     async def _read_exactly(self, sock: socket.socket, count: int) -> bytes:
         data = bytearray()
--- a/violetdoor/fleet/streams.py
+++ b/violetdoor/fleet/streams.py
@@ -15,6 +15,7 @@
 from typing import NamedTuple, Protocol
 
 from violetdoor.fleet import messages as m
+from violetdoor.fleet.frames import StreamWriter
 from violetdoor.fleet.seal import Seal
 from violetdoor.fleet.view import Address, Peer, View
 from violetdoor.net.sockets import connect, end
@@ -99,7 +100,7 @@
             end(sock)
 
     async def _pump(self, sock: socket.socket, both: bytes) -> None:
-        loop, seal, count = asyncio.get_running_loop(), self.streams.fleet.seal, 0
+        loop, writer = asyncio.get_running_loop(), StreamWriter(self.streams.fleet.seal, both)
         while True:
             if not self.queue:
                 self.more.clear()
@@ -112,9 +113,7 @@
             while self.queue and len(batch) < MAX_BATCH:
                 data = self.queue.popleft()
                 self.size -= len(data)
-                sealed = seal.put(data, b"stream" + both + count.to_bytes(8, "big"))
-                batch += len(sealed).to_bytes(4, "big") + sealed
-                count += 1
+                batch += writer.frame(data)
             self.streams.counts["bytes_out"] += len(batch)
             async with asyncio.timeout(WRITE_TIMEOUT):
                 await loop.sock_sendall(sock, batch)
@@ -141,7 +140,7 @@
         key = name, peer.instance
         stream = self.out.get(key)
         if stream is None:
-            address = self.fleet.routes.get(name, (peer.host, peer.port))
+            address = self.fleet.routes.get(name, peer.address)
             stream = self.out[key] = Stream(self, name, peer.instance, address)
             task = asyncio.get_running_loop().create_task(self._run(key, stream))
             self.tasks[key] = task
