--- a/violetdoor/events.py
+++ b/violetdoor/events.py
@@ -12,7 +12,10 @@
 # The fleet. Values: see docs/operators/fleet-view.md.
 FLEET_VIEW = "fleet.view"  # a view was installed
 FLEET_LIVE, FLEET_STALE = "fleet.live", "fleet.stale"  # the lease holds; it is over
-FLEET_FOUNDED, FLEET_RECALLED = "fleet.founded", "fleet.recalled"  # a line began; a restart remembers a view
+FLEET_FOUNDED, FLEET_RECALLED = (
+    "fleet.founded",
+    "fleet.recalled",
+)  # an epoch began; a restart remembers a view
 FLEET_REMOVED, FLEET_LEFT = "fleet.removed", "fleet.left"  # taken out by the others; left by its own word
 FLEET_REFUSED = "fleet.refused"  # another relay does not let this one in
 FLEET_HANDED = "fleet.handed"  # an upgrade's new process goes on as the member that the old one was
--- a/violetdoor/fleet/__init__.py
+++ b/violetdoor/fleet/__init__.py
@@ -1,6 +1,6 @@
-"""A view of the fleet that the relays keep: who lives, in which order of views, under which lease.
+"""Membership of a fleet of relays: failure detection, agreed views, leases, and a replicated map.
 
-Decisions stand in modules without input or output: `view`, `messages`, `seal`, `swim`, `agreement`,
-`lease`, `shared`, and `node`, which joins them. `service` has the sockets. docs/design/fleet-view.md has
-the promises.
+All modules are without input or output but for `endpoint` and `streams` (sockets and the clock), `state_file`
+(what must outlive the process) and `service` (the program's part). `node` joins the parts of one relay;
+docs/design/fleet-view.md has the parts, the promises and what they rest on.
 """
--- a/violetdoor/fleet/agreement.py
+++ b/violetdoor/fleet/agreement.py
@@ -1,6 +1,6 @@
 """Agreement on the view that follows another: one instance of single-decree Paxos (Lamport 2001) a view.
 
-The members of a view are the acceptors of its successor, so that the views of one line are a chain in
+The members of a view are the acceptors of its successor, so that the views of one epoch are a chain in
 which each has the word of a majority of the one before. The first ballot is the first member's and needs
 no first phase.
 
@@ -43,7 +43,7 @@
     phase: Phase = Phase.POLL
     voted: set[int] = field(default_factory=set)  # places of members that agreed in this phase
     contradicted: set[int] = field(default_factory=set)  # places of dead that somebody knows to live
-    highest: int = -1  # ballot of the accepted change that promises told of
+    highest: int = -1  # ballot of the accepted change, as promises report it
     until: float = 0.0  # when this ballot is given up
     ended: tuple[int, ...] = ()  # places of those that have begun another life
 
@@ -181,7 +181,7 @@
             self._ask(now)
 
     def receive(self, place: int, message: m.Message, now: float, lives: set[int]) -> None:
-        """Take a message of the member at this place; `lives` has the places of those held for alive here."""
+        """Take a message of the member at this place; `lives` has the places of the alive, as seen here."""
         p, base = self.proposal, self.view.id
         match message:
             case m.Poll(number=number, change=change, ended=ended):
--- a/violetdoor/fleet/membership.py
+++ b/violetdoor/fleet/membership.py
@@ -29,7 +29,7 @@
 
 
 class Membership:
-    """The view that this relay stands at. Parts that depend on it are told as `listeners`."""
+    """The view that this relay stands at. Parts that depend on it are its `listeners`."""
 
     def __init__(
         self, context: NodeContext, departures: Departures, prior_leases: PriorLeases, gossip: Gossip,
--- a/violetdoor/fleet/messages.py
+++ b/violetdoor/fleet/messages.py
@@ -206,7 +206,7 @@
 
 
 class Hello(Struct, frozen=True, array_like=True, tag=1):
-    """I want to enter; whether I may found a line, and how long I have been up, in s."""
+    """I want to join; whether I may found an epoch, and how long I have been up, in s."""
 
     peer: Peer
     founder: bool
@@ -230,7 +230,7 @@
 
 
 class Found(Struct, frozen=True, array_like=True, tag=4):
-    """Would you begin a line with this first view? `base` is the view that its survivors had, if any."""
+    """Vote for an epoch with this first view. `base` is the view that its survivors had, if any."""
 
     view: View
     base: ViewId | None
--- a/violetdoor/fleet/shared.py
+++ b/violetdoor/fleet/shared.py
@@ -18,7 +18,7 @@
 # some tens of servers are out at a time; over this the oldest tombstones go, then nothing new
 MAX_ENTRIES = 4096
 TOMBSTONE_MS = 3_600_000.0  # for which a value taken back is remembered
-ENTRY_RETRANSMITS = 3  # times the spread that an entry is told on
+ENTRY_RETRANSMITS = 3  # times the spread that an entry is sent on
 
 
 class Clock:
@@ -46,7 +46,7 @@
         self.clock = Clock(name)
         self.entries: dict[str, Entry] = {}
         self.digest = 0  # of all entries, whatever their order
-        self.news: dict[str, int] = {}  # keys that are still told, and how often
+        self.news: dict[str, int] = {}  # keys that are still to be sent, and how often
         self.refused = 0  # entries that had no room
         self.changed: Callable[[str, float | None], None] = lambda key, value: None
 
@@ -99,7 +99,7 @@
         return len(self.entries) < MAX_ENTRIES
 
     def pick_news(self) -> tuple[Entry, ...]:
-        """What to tell with the next packet: the least told first."""
+        """The entries of the next packet: those that were sent least often first."""
         picked = []
         for key, left in sorted(self.news.items(), key=lambda one: -one[1])[:MAX_NEWS]:
             if left <= 1:
--- a/violetdoor/fleet/streams.py
+++ b/violetdoor/fleet/streams.py
@@ -2,7 +2,7 @@
 
 A stream begins as a call does, with a number from each side; each message has a seal over both and its count,
 so that none can be left out, repeated or put elsewhere unseen. What is queued for a relay that can't be
-reached is dropped, and its sender told: whoever uses this says things again.
+reached is dropped, and the sender is notified: whoever uses this sends again.
 """
 
 from __future__ import annotations
--- a/violetdoor/fleet/swim.py
+++ b/violetdoor/fleet/swim.py
@@ -4,7 +4,7 @@
 answer others are asked to probe it, and it is asked over TCP. Who answers nobody is suspected; a
 suspicion ends when its member contradicts it with a higher incarnation, or in death when its time is up.
 That time shortens with each member that suspects independently; probes slow down while this relay's own
-health is in doubt. Death is this relay's own finding and is not told on: the agreement asks the others
+health is in doubt. Death is this relay's own finding and is not gossiped: the agreement asks the others
 for theirs.
 """
 
@@ -29,8 +29,8 @@
 MAX_CONFIRMATIONS = 3  # independent suspicions from which on it is shortest
 WORST_HEALTH = 8  # of the health's score: all times are multiplied by one more
 WITNESSES = 5  # members, on average, that probe one at once of which they hear that it is suspected
-RUMOR_RETRANSMITS = 4  # times the spread that a rumor is told on
-DEAD_PROBE_EVERY = 4  # each so many periods a member held for dead is probed too: partitions heal
+RUMOR_RETRANSMITS = 4  # times the spread that a rumor is sent on
+DEAD_PROBE_EVERY = 4  # each so many periods a dead member is probed, too: partitions heal
 
 
 class Health(Enum):
@@ -104,7 +104,7 @@
         self.watched: dict[str, MonitoredMember] = {}
         # Of these; kept apart so that a step costs as much as there is in doubt.
         self.suspected: dict[str, MonitoredMember] = {}
-        self.dead_members: dict[str, MonitoredMember] = {}  # held for dead
+        self.dead_members: dict[str, MonitoredMember] = {}  # taken for dead
         self.order: list[str] = []  # to be probed next, last first
         self.seq, self.probes = 0, list[Probe]()
         self.relayed_probes: dict[int, RelayedProbe] = {}
@@ -112,7 +112,7 @@
         self.next_period = now + random.random() * PROBE_PERIOD
         self.periods = 0
         self.woken = now
-        self.rumors: dict[str, tuple[m.Rumor, int]] = {}  # by member, with how often it is still told
+        self.rumors: dict[str, tuple[m.Rumor, int]] = {}  # by member, with how often it is still to be sent
         self.out: list[Outgoing] = []
         self.tcp_probes: list[TcpProbe] = []
         self.death_proofs: list[DeathProof] = []
@@ -141,17 +141,17 @@
         self.probes = [p for p in self.probes if known.get(p.name) is self.watched.get(p.name)]
 
     def alive(self, name: str) -> bool:
-        """Whether a member is held for alive: not suspected, not dead."""
+        """Whether a member is taken for alive: neither suspected nor dead."""
         watched = self.watched.get(name)
         return name == self.me.name or (watched is not None and watched.health is Health.ALIVE)
 
     @property
     def living(self) -> int:
-        """How many are held for alive, this relay with them."""
+        """How many members are taken for alive, this relay included."""
         return 1 + len(self.watched) - len(self.dead_members) - len(self.suspected)
 
     def dead(self) -> list[str]:
-        """The members held for dead."""
+        """The members that are taken for dead."""
         return list(self.dead_members)
 
     def _set_health(self, w: MonitoredMember, health: Health, now: float) -> None:
@@ -296,7 +296,7 @@
             self.out.append(Outgoing(relayed.origin, m.Ack(relayed.seq, 0)))
 
     def confirm_dead(self, name: str, now: float, proved: bool = False) -> None:
-        """A member's life is over for sure: its relay has begun another, and its silence is no fault here."""
+        """A member's life is certainly over; its silence puts nobody's own health in doubt."""
         self.probes = [p for p in self.probes if p.name != name]
         if (w := self.watched.get(name)) is not None:
             if w.health is not Health.DEAD:
@@ -372,7 +372,7 @@
         self.rumors[rumor.name] = rumor, RUMOR_RETRANSMITS * spread(len(self.watched) + 1)
 
     def pick_rumors(self, to: str) -> tuple[m.Rumor, ...]:
-        """What to tell a member with the next packet: first what is said of itself, then the least told.
+        """The rumors of the next packet: first what is said of its receiver, then those sent least often.
 
         A member that is doubted hears of it from whoever speaks to it, so that it can contradict (Lifeguard's
         buddy system).
--- a/violetdoor/fleet/view.py
+++ b/violetdoor/fleet/view.py
@@ -21,7 +21,7 @@
     """One life of one relay as a member.
 
     `instance` is drawn anew each time it enters, so that what was said of an earlier life means nothing
-    to it; `process` is the same as long as its program runs; `since` is the place in its line of the
+    to it; `process` is the same as long as its program runs; `since` is the place in its epoch of the
     first view that has it.
     """
 
@@ -51,10 +51,10 @@
 
 
 class ViewId(Struct, frozen=True, array_like=True, order=True):
-    """The number of a view: the line that it belongs to, and its place in that line.
+    """The number of a view: the epoch that it belongs to, and its place in that epoch.
 
-    A line begins where a fleet is founded, or is founded anew after the loss of a majority. Its value is the
-    founder's Unix time in ms with random bits behind, so that later lines are higher where clocks are sound.
+    An epoch begins where a fleet is founded, or is founded anew after the loss of a majority. Its value is the
+    founder's Unix time in ms with random bits behind, so that later epochs are higher where clocks are sound.
     """
 
     epoch: int
@@ -100,7 +100,7 @@
         return known is not None and known.instance == peer.instance
 
     def after(self, change: Change) -> View:
-        """The next view of this line."""
+        """The next view of this epoch."""
         gone = set(change.dead) | set(change.left)
         kept = {p.name: p for n, p in enumerate(self.members) if n not in gone}
         seq = self.seq + 1
