--- a/violetdoor/fleet/view.py
+++ b/violetdoor/fleet/view.py
@@ -53,8 +53,9 @@
 class ViewId(Struct, frozen=True, array_like=True, order=True):
     """The number of a view: the epoch that it belongs to, and its place in that epoch.
 
-    An epoch begins where a fleet is founded, or is founded anew after the loss of a majority. Its value is the
-    founder's Unix time in ms with random bits behind, so that later epochs are higher where clocks are sound.
+    An epoch begins where a fleet is founded, or is founded anew after the loss of a majority. Its value is
+    the founder's Unix time in ms with random bits behind, so that later epochs are higher where clocks are
+    sound.
     """
 
     epoch: int
