--- /dev/null
+++ b/benchmarks/capacity/fits.py
@@ -0,0 +1,139 @@
+"""Slopes: how a cost grows with a size, and whether that may be believed beyond the largest measured.
+
+A slope counts only if, fitted without the largest size, it predicts the largest within `WITHIN`.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from enum import Enum
+
+from benchmarks.capacity.records import Point
+
+WITHIN = 0.2  # part of the measured value by which the prediction of the largest size may be off
+SIZES_LEAST = 4  # of a series: three to fit and one to predict
+SIMPLER = 0.01  # part by which a steeper form has to fit better than a flatter one before it is taken
+
+
+class Form(Enum):
+    """How a cost may grow, flattest first; the values are as the page writes them."""
+
+    CONSTANT = "constant"
+    LOG = "log n"
+    LINEAR = "n"
+    N_LOG_N = "n log n"
+    SQUARE = "n squared"
+
+
+GROWTH: dict[Form, Callable[[float], float]] = {
+    Form.CONSTANT: lambda size: 0.0,
+    Form.LOG: lambda size: math.log(size),
+    Form.LINEAR: lambda size: size,
+    Form.N_LOG_N: lambda size: size * math.log(size),
+    Form.SQUARE: lambda size: size * size,
+}
+
+
+class FitError(ValueError):
+    """A series that no slope can be made of."""
+
+
+@dataclass(slots=True, frozen=True)
+class Fit:
+    """`base + slope * growth(size)`; neither is below zero, as costs are not."""
+
+    form: Form
+    base: float
+    slope: float
+    residual: float  # root of the mean squared relative error over the fitted points
+
+    def at(self, size: float) -> float:
+        """The cost at a size."""
+        return self.base + self.slope * GROWTH[self.form](size)
+
+    def size_at(self, cost: float) -> float:
+        """The size at which the cost reaches a budget; infinite where it never does."""
+        if self.at(1.0) >= cost:
+            return 1.0
+        if self.slope == 0.0:
+            return math.inf
+        low, high = 1.0, 2.0
+        while self.at(high) < cost:
+            high *= 2.0
+        while high - low > 0.001 * low:
+            middle = (low + high) / 2
+            low, high = (middle, high) if self.at(middle) < cost else (low, middle)
+        return low
+
+
+def fit(points: Sequence[Point], form: Form) -> Fit:
+    """The least squared relative errors for one form."""
+    if not points or any(point.value <= 0 for point in points):
+        raise FitError("a fit takes points above zero")
+    growths = [GROWTH[form](point.size) for point in points]
+    base, slope = _solved([point.value for point in points], growths)
+    errors = [(base + slope * g) / p.value - 1 for g, p in zip(growths, points, strict=True)]
+    return Fit(form, base, slope, math.sqrt(sum(e * e for e in errors) / len(errors)))
+
+
+def _solved(values: list[float], growths: list[float]) -> tuple[float, float]:
+    """Base and slope by weighted least squares; each error counts by its part of the value."""
+    weights = [1.0 / (v * v) for v in values]
+    total = sum(weights)
+    mean_growth = sum(w * g for w, g in zip(weights, growths, strict=True)) / total
+    mean_value = sum(w * v for w, v in zip(weights, values, strict=True)) / total
+    variance = sum(w * (g - mean_growth) ** 2 for w, g in zip(weights, growths, strict=True))
+    if variance == 0.0:
+        return mean_value, 0.0
+    rows = list(zip(weights, growths, values, strict=True))
+    slope = sum(w * (g - mean_growth) * (v - mean_value) for w, g, v in rows) / variance
+    if slope <= 0.0:
+        return mean_value, 0.0
+    base = mean_value - slope * mean_growth
+    if base >= 0.0:
+        return base, slope
+    return 0.0, sum(w * g * v for w, g, v in rows) / sum(w * g * g for w, g, _ in rows)
+
+
+@dataclass(slots=True, frozen=True)
+class Verdict:
+    """A series' slope, and how it did where it had not seen the largest size."""
+
+    fit: Fit  # over all sizes
+    predicted: float  # for the largest size by the fit without it
+    measured: float
+    passing: tuple[Fit, ...]  # over all sizes, of every form that predicted the largest within the limit
+
+    @property
+    def error(self) -> float:
+        """Of the prediction, as a part of what was measured."""
+        return self.predicted / self.measured - 1
+
+    @property
+    def counts(self) -> bool:
+        return abs(self.error) <= WITHIN
+
+    def range_at(self, size: float) -> tuple[float, float]:
+        """Least and most that any form says that also predicted the largest size."""
+        found = [one.at(size) for one in (self.fit, *self.passing)]
+        return min(found), max(found)
+
+
+def judge(points: Sequence[Point], form: Form | None = None) -> Verdict:
+    """Choose a form by the sizes without the largest, unless it is given, and hold it against the largest."""
+    ordered = sorted(points, key=lambda point: point.size)
+    if len({point.size for point in ordered}) < SIZES_LEAST:
+        raise FitError(f"a slope takes {SIZES_LEAST} sizes or more")
+    seen, largest = ordered[:-1], ordered[-1]
+    early = {one: fit(seen, one) for one in ([form] if form else Form)}
+    best = next(iter(early.values()))
+    for one in early.values():
+        if one.residual < best.residual - SIMPLER:
+            best = one
+    passing = [f for f, one in early.items() if abs(one.at(largest.size) / largest.value - 1) <= WITHIN]
+    return Verdict(
+        fit(ordered, best.form), best.at(largest.size), largest.value,
+        tuple(fit(ordered, one) for one in passing),
+    )  # fmt: skip
--- /dev/null
+++ b/tests/test_capacity.py
@@ -0,0 +1,67 @@
+"""Slopes are recovered where they are known, and refused where they don't predict."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Sequence
+from random import Random
+
+import pytest
+
+from benchmarks.capacity.fits import GROWTH, FitError, Form, fit, judge
+from benchmarks.capacity.records import Point
+
+SIZES = 50, 100, 200, 400, 800
+
+
+def series(
+    cost: Callable[[float], float], sizes: Sequence[int] = SIZES, noise: float = 0.0, seed: int = 1
+) -> list[Point]:
+    random = Random(seed)
+    values = [(n, cost(n) * (1 + random.uniform(-noise, noise))) for n in sizes]
+    return [Point(n, value, value, value) for n, value in values]
+
+
+@pytest.mark.parametrize("form", Form)
+def test_a_known_form_is_recovered_with_its_base_and_slope(form: Form) -> None:
+    found = judge(series(lambda n: 30.0 + 2.0 * GROWTH[form](n)))
+    assert found.fit.form is form
+    assert found.counts and abs(found.error) < 1e-6 and found.fit.residual < 1e-6
+    assert found.fit.at(5600) == pytest.approx(30.0 + 2.0 * GROWTH[form](5600))
+
+
+@pytest.mark.parametrize("form", [Form.LINEAR, Form.N_LOG_N, Form.SQUARE])
+def test_some_noise_leaves_a_form_that_counts_and_a_range_around_the_truth(form: Form) -> None:
+    def truth(n: float) -> float:
+        return 0.5 + 2.0 * GROWTH[form](n)
+
+    found = judge(series(truth, noise=0.03))
+    low, high = found.range_at(1600)
+    assert found.counts
+    assert low * 0.95 <= truth(1600) <= high * 1.05
+
+
+@pytest.mark.parametrize(
+    ("truth", "wrong"),
+    [(Form.SQUARE, Form.LINEAR), (Form.LINEAR, Form.LOG), (Form.N_LOG_N, Form.CONSTANT)],
+)
+def test_a_wrong_form_does_not_predict_the_largest(truth: Form, wrong: Form) -> None:
+    found = judge(series(GROWTH[truth]), wrong)
+    assert not found.counts and found.error < -0.2
+
+
+def test_a_cost_that_turns_steep_at_the_largest_size_does_not_count() -> None:
+    points = [*series(lambda n: 10.0 + n, SIZES[:-1]), Point(800, 2000.0, 2000.0, 2000.0)]
+    found = judge(points)
+    assert not found.counts and found.measured == 2000.0 and found.predicted == pytest.approx(810.0)
+
+
+def test_a_size_at_which_a_budget_is_spent() -> None:
+    found = fit(series(lambda n: 100.0 + 2.0 * n), Form.LINEAR)
+    assert found.size_at(6000.0) == pytest.approx(2950.0, rel=0.002)
+    assert fit(series(lambda n: 7.0), Form.CONSTANT).size_at(8.0) == math.inf
+
+
+def test_three_sizes_are_no_slope() -> None:
+    with pytest.raises(FitError):
+        judge(series(lambda n: n, SIZES[:3]))
