--- /dev/null
+++ b/benchmarks/capacity/fleet_slopes.py
@@ -0,0 +1,130 @@
+"""What a member of the fleet's view costs by the size of the view: virtual time, all packets encoded."""
+
+from __future__ import annotations
+
+import multiprocessing
+import tracemalloc
+from collections.abc import Callable
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass
+
+from benchmarks import fleet_view
+from benchmarks.capacity import hosts
+from benchmarks.capacity.records import Figure, Point, Series, point
+
+RUNS = {25: 12, 50: 10, 100: 6, 200: 4, 400: 2, 800: 1}  # seeds by size: larger ones cost more
+QUICK_RUNS = {10: 2, 20: 2, 40: 2, 80: 2}
+MEMORY_SIZES, QUICK_MEMORY_SIZES = (25, 50, 100, 200, 400), (10, 20, 40, 80)
+SMALL = 200  # members up to which a fleet is looked at for longer, as chance weighs more there
+REST, REST_SMALL = 10.0, 30.0  # virtual s that are looked at, at rest
+EVENT = 8.0  # and from one restart or death on
+WORKERS = 4  # processes at a time: others use the machine too
+FOUNDED = 100  # members of the fleet that is founded as real ones are, to compare
+
+
+@dataclass(slots=True, frozen=True)
+class Cost:
+    """One fleet of one size with one seed; bytes are out and in together, with headers."""
+
+    size: int
+    rest_datagrams: float  # bytes a member and s
+    rest_calls: float
+    rest_packets: float  # datagrams out and in, a member and s
+    rest_processor: float  # us a member and s
+    longest: float  # bytes of a datagram, over all that was played
+    restart_bytes: float  # a member, beyond rest
+    restart_processor: float  # ms a member, beyond rest
+    death_bytes: float
+    death_processor: float
+
+
+@dataclass(slots=True, frozen=True)
+class Spent:
+    """Of all members in one stretch of time."""
+
+    datagrams: float  # bytes
+    calls: float  # bytes
+    packets: int
+    processor: float  # s
+
+
+def _spent(world: hosts.CountingWorld, seconds: float) -> Spent:
+    before = sum(world.bytes.values()), world.datagram_bytes_in, world.call_bytes, world.datagrams_out
+    processor = hosts.processor(world, seconds)
+    out, received = sum(world.bytes.values()) - before[0], world.datagram_bytes_in - before[1]
+    calls = 2 * (world.call_bytes - before[2])  # what one end sends the other receives
+    return Spent(out + received, calls, 2 * (world.datagrams_out - before[3]), processor)
+
+
+def _extra(world: hosts.CountingWorld, size: int, rest: Spent, part: float) -> tuple[float, float]:
+    """Bytes and ms of processor a member, beyond that part of the rest, of what has just been done."""
+    spent = _spent(world, EVENT)
+    volume = spent.datagrams + spent.calls - part * (rest.datagrams + rest.calls)
+    return max(0.0, volume) / size, max(0.0, spent.processor - part * rest.processor) / size * 1e3
+
+
+def measure_one(job: tuple[int, int]) -> Cost:
+    """Rest, one death and one restart."""
+    size, seed = job
+    world = hosts.settled_fleet(size, seed)
+    looked = REST_SMALL if size <= SMALL else REST
+    rest = _spent(world, looked)
+    everybody = hosts.names(size)
+    world.kill(everybody[size // 2])
+    death = _extra(world, size, rest, EVENT / looked)
+    world.kill(everybody[size // 3])
+    world.start(everybody[size // 3], everybody[:5], everybody[:3])
+    restart = _extra(world, size, rest, EVENT / looked)
+    each = size * looked
+    return Cost(
+        size, rest.datagrams / each, rest.calls / each, rest.packets / each, rest.processor / each * 1e6,
+        world.longest, *restart, *death,
+    )  # fmt: skip
+
+
+KINDS: tuple[tuple[str, str, str, Callable[[Cost], float]], ...] = (
+    ("view_rest_bytes", "a member at rest, datagrams and calls", "B/s", lambda c: c.rest_datagrams + c.rest_calls),
+    ("view_rest_datagrams", "of these, datagrams", "B/s", lambda c: c.rest_datagrams),
+    ("view_rest_calls", "of these, calls over TCP, which bring the whole view", "B/s", lambda c: c.rest_calls),
+    ("view_rest_packets", "a member at rest, datagrams out and in", "1/s", lambda c: c.rest_packets),
+    ("view_rest_processor", "a member at rest, in virtual time", "us/s", lambda c: c.rest_processor),
+    ("view_longest", "the longest datagram with its seal", "B", lambda c: c.longest),
+    ("view_restart_bytes", "one restart, each member beyond rest", "B", lambda c: c.restart_bytes),
+    ("view_restart_processor", "one restart, each member beyond rest", "ms", lambda c: c.restart_processor),
+    ("view_death_bytes", "one death, each member beyond rest", "B", lambda c: c.death_bytes),
+    ("view_death_processor", "one death, each member beyond rest", "ms", lambda c: c.death_processor),
+)  # fmt: skip
+
+
+def memory_one(size: int) -> float:
+    """Bytes of Python's objects a member, the virtual world's few in it; each has its own copy of the view."""
+    tracemalloc.start()
+    world = hosts.settled_fleet(size)
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return held / len(world.hosts)
+
+
+def measure(quick: bool) -> list[Series | Figure]:
+    """All series by members."""
+    runs = QUICK_RUNS if quick else RUNS
+    jobs = [(size, seed) for size in sorted(runs, reverse=True) for seed in range(1, runs[size] + 1)]
+    context = multiprocessing.get_context("spawn")  # memory of a fresh process
+    with ProcessPoolExecutor(WORKERS, mp_context=context, max_tasks_per_child=1) as pool:
+        founded = None if quick else pool.submit(fleet_view.traffic, FOUNDED)
+        sizes = QUICK_MEMORY_SIZES if quick else MEMORY_SIZES
+        memory = pool.map(memory_one, sizes)
+        costs = list(pool.map(measure_one, jobs))
+    found: list[Series | Figure] = []
+    for name, title, unit, value in KINDS:
+        points: list[Point] = [point(n, [value(c) for c in costs if c.size == n]) for n in sorted(runs)]
+        found.append(Series(name, title, "members", unit, points))
+    held = [point(size, [value]) for size, value in zip(sizes, memory, strict=True)]
+    found.append(Series("view_memory", "a member's state", "members", "B", held))
+    if founded is not None:
+        out = founded.result()[1]
+        here = next(c for c in costs if c.size == FOUNDED).rest_datagrams / 2
+        ratio = out / here
+        title = f"datagram bytes of {FOUNDED} members that founded their fleet over those that took a view up"
+        found.append(Figure("view_founded_ratio", title, "", ratio, ratio, ratio))
+    return found
--- /dev/null
+++ b/benchmarks/capacity/hosts.py
@@ -0,0 +1,136 @@
+"""Fleets in virtual time that stand at one view from the start, with all bytes counted.
+
+The only place that uses names of `violetdoor.fleet` and `violetdoor.faults.virtual` for the slopes. Founding a
+large fleet takes minutes of processor time, so members take up a state that a process hands over in an
+upgrade, and settle within seconds.
+"""
+
+from __future__ import annotations
+
+import time
+from collections import Counter
+from random import Random
+
+from violetdoor.faults.virtual import UNIX, Host, World
+from violetdoor.fleet import messages as m
+from violetdoor.fleet.node import Address, Node, Plan
+from violetdoor.fleet.seal import SEAL
+from violetdoor.fleet.view import Peer, View, in_order
+
+PORT = 7946
+ZONES = 24
+SETTLE_WITHIN = 30.0  # virtual s
+
+# Of one call over TCP, both directions: SYN, SYN-ACK and ACK, four parts of data and their acknowledgements, FIN
+# and ACK of each side, 52 bytes of IPv4 and TCP with timestamps each and 8 more in the two SYNs; two random
+# numbers of 16 bytes, two lengths of 4 and two seals. Reckoned; the part `hollow` holds it against real ones.
+SEGMENTS = 3 + 8 + 4
+SEGMENT_HEADER = 52
+SEGMENT_BODY = 1448  # bytes of data in one Ethernet frame
+CALL_FIXED = SEGMENTS * SEGMENT_HEADER + 2 * 8 + 2 * 16 + 2 * 4 + 2 * SEAL
+
+
+def call_bytes(body: int) -> int:
+    """Bytes on the wire of the data of one direction beyond a call's fixed part."""
+    return body + (body // SEGMENT_BODY) * (SEGMENT_HEADER + SEGMENT_HEADER // 2)
+
+
+class CountingWorld(World):
+    """Counts what the base does not: calls, by bytes and number, out and in, and datagrams that come in."""
+
+    def __init__(self, seed: int) -> None:
+        super().__init__(seed, encode=True)
+        self.datagrams_out = 0
+        self.datagram_bytes_in = 0
+        self.calls = 0
+        self.call_bytes = 0  # out and in together, of both ends once
+        self.call_sizes: Counter[str] = Counter()
+
+    def _send(self, host: Host, address: Address, packet: m.Packet) -> None:
+        before = self.bytes[host.name]
+        super()._send(host, address, packet)
+        self.datagrams_out += 1
+        if address in self.by_address and self.by_address[address].node is not None:
+            self.datagram_bytes_in += self.bytes[host.name] - before
+
+    def _call(self, host: Host, address: Address, number: int, request: m.Request, within: float) -> None:
+        self.calls += 1
+        self._count_call(request, CALL_FIXED)
+        super()._call(host, address, number, request, within)
+
+    def _answered(
+        self, host: Host, life: int, number: int, answer: m.Answer | None, refused: bool = False
+    ) -> None:
+        if answer is not None:
+            self._count_call(answer, 0)
+        super()._answered(host, life, number, answer, refused)
+
+    def _count_call(self, message: m.Request | m.Answer, fixed: int) -> None:
+        size = call_bytes(len(m.encode(message))) + fixed
+        self.call_bytes += size
+        self.call_sizes[type(message).__name__] += size
+
+
+def names(count: int) -> list[str]:
+    """Members of a virtual fleet, in the order of their view."""
+    return [f"relay-{n:05d}" for n in range(count)]
+
+
+def settled_fleet(size: int, seed: int = 1) -> CountingWorld:
+    """A fleet of so many members that all hold a lease. Raises RuntimeError where they don't get one."""
+    world, everybody = CountingWorld(seed), names(size)
+    places = [(name, world.host(name).address) for name in everybody]
+    peers = [_peer(name, address, n) for n, (name, address) in enumerate(places)]
+    view = View(1 << 16, 2, in_order(peers))
+    founders = frozenset(everybody[:5])
+    seeds = tuple(address for _, address in places[:3])
+    for peer in peers:
+        host = world.host(peer.name)
+        host.life += 1
+        plan = Plan(peer.name, *host.address, peer.zone, seeds, founders)
+        node = Node(plan, Random(world.random.getrandbits(64)), world.clock(host), lambda: UNIX)
+        handed = m.handeds.decode(m.encode(_handed(peer, view, world.clock(host))))  # an own copy of the view
+        node.take(handed, world.clock(host))
+        host.node = node
+        world._carry_out(host)
+        world._push(world.now + world.random.random() * 0.25, world._wake, host, host.life)
+    if not world.run(SETTLE_WITHIN, lambda: _live(world, everybody[-1]) and world.settled(everybody)):
+        raise RuntimeError(f"{size} members that take up a view do not settle")
+    return world
+
+
+def _live(world: World, name: str) -> bool:
+    host = world.hosts[name]
+    return host.node is not None and host.node.may_act(world.clock(host))
+
+
+def _peer(name: str, address: Address, place: int) -> Peer:
+    draw = Random(name)
+    return Peer(
+        name, draw.getrandbits(62) | 1, *address, f"zone-{place % ZONES}", draw.getrandbits(62) | 1, 1
+    )
+
+
+def _handed(peer: Peer, view: View, now: float) -> m.Handed:
+    never = float("-inf")
+    lease = m.HeldLease(never, never, False, 0, -1, b"\0", b"\0", (), now)
+    return m.Handed(
+        peer.process, peer, "member", now, m.Memory(view), None, view.line, view.seq, lease, never, (),
+        False, 0, 0, (), m.Stamp(0, 0, ""), (), (), (), (), (), (),
+    )  # fmt: skip
+
+
+def processor(world: World, seconds: float) -> float:
+    """Let virtual time pass; processor time that it took, in s."""
+    began = time.process_time()
+    world.run(seconds)
+    return time.process_time() - began
+
+
+def view_bytes(size: int) -> int:
+    """Bytes of a view of so many members, as it is told over TCP."""
+    return len(
+        m.encode(
+            View(1 << 16, 2, tuple(_peer(name, ("10.0.0.1", PORT), n) for n, name in enumerate(names(size))))
+        )
+    )
