--- /dev/null
+++ b/benchmarks/capacity/processes.py
@@ -0,0 +1,102 @@
+"""Relays as processes of the real program, with what they cost; each is ended by its id."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import re
+import sys
+from pathlib import Path
+from types import TracebackType
+from typing import Any
+
+import orjson
+
+from benchmarks.capacity.records import ROOT
+
+Address = tuple[str, int]
+
+CONSOLE_HOST = "127.0.0.1"
+START_WITHIN = 30.0  # s
+END_WITHIN = 10.0  # s after SIGTERM
+CALL_WITHIN = 5.0
+SETTINGS: dict[str, Any] = {
+    "front": "line", "listen": "127.0.0.1:0", "line": {"tenants": ["club"]},
+    "classes": [{"name": "checkin", "aim_ms": 300, "deadline_ms": 5_000, "message_aim_ms": 250}],
+}  # fmt: skip
+
+
+class Relay:
+    """One process, started with an operator's file of these settings over the least ones."""
+
+    def __init__(self, folder: Path, settings: dict[str, Any], name: str = "relay-1") -> None:
+        self.folder, self.name = folder, name
+        self.settings = SETTINGS | {"name": name} | settings
+        self.address: Address = ("", 0)
+        self.console: Address = ("", 0)
+
+    async def __aenter__(self) -> Relay:
+        path = self.folder / f"{self.name}.json"
+        path.write_bytes(orjson.dumps(self.settings))
+        shared = self.folder / f"{self.name}.tmp"
+        shared.mkdir(exist_ok=True)
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "violetdoor", "--config", str(path), cwd=ROOT,
+            env=os.environ | {"TMPDIR": str(shared)}, stderr=asyncio.subprocess.PIPE,
+        )  # fmt: skip
+        self.listening = asyncio.Event()
+        self.reading = asyncio.create_task(self._read())
+        async with asyncio.timeout(START_WITHIN):
+            await self.listening.wait()
+        if self.address[1] == 0:
+            raise RuntimeError(f"{self.name} did not start: {self.last}")
+        return self
+
+    async def _read(self) -> None:
+        assert self.process.stderr is not None
+        self.last = ""
+        while line := (await self.process.stderr.readline()).decode("utf-8", "replace"):
+            self.last = line
+            if found := re.search(r"(console|listening) on ([\d.]+):(\d+)", line):
+                address = found[2], int(found[3])
+                if found[1] == "console":
+                    self.console = address
+                else:
+                    self.address = address
+                    self.listening.set()
+        self.listening.set()
+
+    async def __aexit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
+    ) -> None:
+        with contextlib.suppress(ProcessLookupError):
+            self.process.terminate()
+        try:
+            async with asyncio.timeout(END_WITHIN):
+                await self.process.wait()
+        except TimeoutError:
+            self.process.kill()
+            await self.process.wait()
+        await self.reading
+
+    def processor(self) -> float:
+        """S of processor since its start, to a microsecond or so; all its threads."""
+        tasks = Path(f"/proc/{self.process.pid}/task").iterdir()
+        spent = sum(int((task / "schedstat").read_text().split()[0]) for task in tasks)
+        return spent / 1e9
+
+    def memory(self) -> int:
+        """Bytes resident."""
+        status = Path(f"/proc/{self.process.pid}/status").read_text()
+        return int(status.partition("VmRSS:")[2].split()[0]) * 1024
+
+
+async def call_console(address: Address, path: str) -> str:
+    """The body of an answer; raises OSError where there is none."""
+    async with asyncio.timeout(CALL_WITHIN):
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(f"GET {path} HTTP/1.1\r\nHost: capacity\r\n\r\n".encode())
+        answer = await reader.read(-1)
+        writer.close()
+        return answer.decode().partition("\r\n\r\n")[2]
