--- /dev/null
+++ b/benchmarks/capacity/connections.py
@@ -0,0 +1,124 @@
+"""What a relay's standing connections cost: the real program, with clients and servers played beside it."""
+
+from __future__ import annotations
+
+import asyncio
+import resource
+import tempfile
+import time
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import uvloop
+
+from benchmarks.capacity import peers
+from benchmarks.capacity.processes import Relay
+from benchmarks.capacity.records import Figure, Series, point
+
+SIZES, QUICK_SIZES = (250, 500, 1_000, 2_000, 4_000), (25, 50, 100, 200)
+SERVERS = 4
+AT_ONCE = 64  # clients that open at a time
+SETTLE, REST = 2.0, 6.0  # s after the last client is up; that are looked at
+DELIVERING, SLICES = 5.0, 20  # s; parts of a second in which the deliveries of that second go out
+EACH_SECOND = 1.0  # deliveries a connection and s
+DESCRIPTORS = 20_000  # of a relay; each client takes two
+SPARE = 512  # descriptors of this process besides the two a client
+FRONTS: tuple[type[peers.LineFront] | type[peers.NatsFront], ...] = (peers.LineFront, peers.NatsFront)
+
+
+@dataclass(slots=True, frozen=True)
+class Cost:
+    """One run at one size."""
+
+    opened: float  # connections a s, by the wall clock
+    opening: float  # us of processor a connection
+    resting: float  # us of processor a s, all connections
+    memory: float  # bytes of the process beyond those that it has without a client
+    delivering: float  # us of processor a delivery, beyond rest
+    delivered: float  # part of the deliveries that arrived
+
+
+def settings(front: str, servers: list[peers.Address]) -> dict[str, Any]:
+    """An operator's file for one front, with its defaults."""
+    rows = [{"id": f"server-{n}", "addr": f"{host}:{port}"} for n, (host, port) in enumerate(servers)]
+    own: dict[str, Any] = {"front": front, "servers": rows, "sockets": DESCRIPTORS}
+    if front == "nats":
+        own["tenants"] = [{"name": "club", "class": "checkin", "users": ["*"]}]
+    return own
+
+
+async def measure_one(front: type[peers.LineFront] | type[peers.NatsFront], count: int) -> Cost:
+    """Open, rest, deliver."""
+    standing: set[peers.Server] = set()
+    servers = [await peers.serve(front.server, standing) for _ in range(SERVERS)]
+    with tempfile.TemporaryDirectory() as folder:
+        async with Relay(Path(folder), settings(front.name, [at for _, at in servers])) as relay:
+            cost = await _played(front, count, relay, standing)
+    for server, _ in servers:
+        server.close()
+    return cost
+
+
+async def _played(front: Any, count: int, relay: Relay, standing: set[peers.Server]) -> Cost:
+    idle = relay.memory()
+    before, began = relay.processor(), time.monotonic()
+    clients = await peers.stand(front.client, relay.address, count, AT_ONCE)
+    took, opening = time.monotonic() - began, relay.processor() - before
+    await asyncio.sleep(SETTLE)
+    before, began = relay.processor(), time.monotonic()
+    await asyncio.sleep(REST)
+    resting = (relay.processor() - before) / (time.monotonic() - began)
+    memory = relay.memory() - idle
+    before, began = relay.processor(), time.monotonic()
+    sent = await _deliver(standing)
+    spent = relay.processor() - before - resting * (time.monotonic() - began)
+    arrived = sum(client.messages for client in clients)
+    for client in clients:
+        client.transport.abort()
+    return Cost(
+        count / took, opening / count * 1e6, resting * 1e6, float(memory), max(0.0, spent) / sent * 1e6,
+        arrived / sent,
+    )  # fmt: skip
+
+
+async def _deliver(standing: set[peers.Server]) -> int:
+    """Send every connection its messages, spread over each second; how many that were."""
+    loop, began, sent = asyncio.get_running_loop(), asyncio.get_running_loop().time(), 0
+    connections = list(standing)
+    for turn in range(int(DELIVERING * SLICES)):
+        for server in connections[turn % SLICES :: SLICES]:
+            server.deliver()
+            sent += 1
+        await asyncio.sleep(max(0.0, began + (turn + 1) / SLICES / EACH_SECOND - loop.time()))
+    await asyncio.sleep(SETTLE)
+    return sent
+
+
+KINDS = (
+    ("memory", "memory beyond the idle process", "B"),
+    ("resting", "standing connections at rest", "us/s"),
+    ("opening", "one connection opened", "us"),
+    ("opened", "connections opened a second, 64 at a time", "1/s"),
+    ("delivering", "one delivery of 64 bytes, beyond rest", "us"),
+    ("delivered", "deliveries that arrived, as a part", ""),
+)
+
+
+def measure(quick: bool) -> list[Series | Figure]:
+    """Both fronts by standing connections."""
+    sizes = QUICK_SIZES if quick else SIZES
+    _, most = resource.getrlimit(resource.RLIMIT_NOFILE)
+    wanted = min(most, 2 * max(sizes) + SPARE)
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft < wanted:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, most))
+    found: list[Series | Figure] = []
+    for front in FRONTS:
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            costs = {size: runner.run(measure_one(front, size)) for size in sizes}
+        for name, title, unit in KINDS:
+            points = [point(size, [getattr(cost, name)]) for size, cost in costs.items()]
+            title_here = f"{front.name} front: {title}"
+            found.append(Series(f"{front.name}_{name}", title_here, "standing connections", unit, points))
+    return found
--- /dev/null
+++ b/benchmarks/capacity/hollow.py
@@ -0,0 +1,210 @@
+"""Hollow relays against real processes: bytes, processor and memory of the fleet's view.
+
+A hollow relay is the real decision code with its sockets, many in one process, without clients. All runs in a
+network of its own, where each byte with its headers is counted.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import orjson
+import uvloop
+from msgspec import Struct
+
+from benchmarks.capacity import hosts, quiet_net
+from benchmarks.capacity.processes import Relay, call_console
+from benchmarks.capacity.records import ROOT, Figure, Series
+from benchmarks.machine import rss_kib
+from violetdoor.fleet.endpoint import Fleet
+from violetdoor.fleet.node import Plan
+
+COUNT, QUICK_COUNT = 20, 5
+ROUNDS, QUICK_ROUNDS = 3, 1
+SETTLE, REST, QUICK_REST = 3.0, 15.0, 5.0  # s
+FOUND_WITHIN = 40.0  # s until all stand at one view and hold a lease
+PORT, CLIENT_PORT, CONSOLE_PORT = 7946, 8081, 8500
+KEY = b"k" * 32
+FOUNDERS = 3
+
+
+class Cost(Struct):
+    """A member at rest: bytes/s out and in together, part of a core, bytes of memory."""
+
+    volume: float
+    processor: float
+    memory: float
+
+
+class Kinds(Struct):
+    """The same number of members in four ways; `bare` are processes without a fleet."""
+
+    hollow: Cost
+    real: Cost
+    bare: Cost
+    virtual: Cost
+
+
+def _host(number: int) -> str:
+    return f"127.0.1.{number + 1}"
+
+
+def _plan(number: int, count: int) -> Plan:
+    seeds = tuple((_host(n), PORT) for n in range(min(FOUNDERS, count)) if n != number)
+    founders = frozenset(f"relay-{n:05d}" for n in range(FOUNDERS))
+    return Plan(f"relay-{number:05d}", _host(number), PORT, "", seeds, founders)
+
+
+async def _until(true: Callable[[], Any], what: str) -> None:
+    deadline = time.monotonic() + FOUND_WITHIN
+    while not await true():
+        if time.monotonic() > deadline:
+            raise RuntimeError(f"{what} do not settle on one view")
+        await asyncio.sleep(0.2)
+
+
+async def _rested(seconds: float, count: int, processor: Callable[[], float]) -> tuple[float, float]:
+    """Bytes a member and s, out and in together, and part of a core a member."""
+    await asyncio.sleep(SETTLE)
+    volume, spent, began = quiet_net.bytes_on_loopback(), processor(), time.monotonic()
+    await asyncio.sleep(seconds)
+    took = time.monotonic() - began
+    volume = quiet_net.bytes_on_loopback() - volume
+    return 2 * volume / count / took, (processor() - spent) / count / took
+
+
+async def hollow(count: int, seconds: float) -> Cost:
+    """So many members in this process."""
+    before = rss_kib()
+    fleets = [Fleet(_plan(n, count), (_host(n), PORT), KEY) for n in range(count)]
+    for fleet in fleets:
+        fleet.begin()
+
+    async def settled() -> bool:
+        return all(f.view is not None and len(f.view.members) == count and f.may_act() for f in fleets)
+
+    await _until(settled, "hollow relays")
+    volume, part = await _rested(seconds, count, time.process_time)
+    memory = (rss_kib() - before) * 1024 / count
+    for fleet in fleets:
+        fleet.stop()
+    await asyncio.gather(*(t for f in fleets for t in f.tasks), return_exceptions=True)
+    return Cost(volume, part, memory)
+
+
+def _settings(number: int, count: int, with_fleet: bool) -> dict[str, Any]:
+    plan, host = _plan(number, count), _host(number)
+    fleet = {
+        "listen": f"{host}:{PORT}", "key": "fleet.key", "founders": sorted(plan.founders),
+        "seeds": [f"{at}:{port}" for at, port in plan.seeds], "wait": 0.1,
+    }  # fmt: skip
+    return {
+        "listen": f"{host}:{CLIENT_PORT}", "console": f"{host}:{CONSOLE_PORT}",
+        "servers": [{"addr": "127.0.0.1:9001"}], **({"fleet": fleet} if with_fleet else {}),
+    }  # fmt: skip
+
+
+async def real(count: int, seconds: float, with_fleet: bool) -> Cost:
+    """So many processes of the program."""
+    async with contextlib.AsyncExitStack() as stack:
+        folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
+        (folder / "fleet.key").write_bytes(KEY)
+        made = [Relay(folder, _settings(n, count, with_fleet), f"relay-{n:05d}") for n in range(count)]
+        relays = await asyncio.gather(*(stack.enter_async_context(relay) for relay in made))
+
+        async def settled() -> bool:
+            told = [orjson.loads(await call_console(relay.console, "/fleet")) for relay in relays]
+            return all(one["size"] == count and one["may_act"] for one in told)
+
+        if with_fleet:
+            await _until(settled, "real relays")
+
+        def processor() -> float:
+            return sum(relay.processor() for relay in relays)
+
+        volume, part = await _rested(seconds, count, processor)
+        return Cost(volume, part, sum(relay.memory() for relay in relays) / count)
+
+
+def virtual(count: int) -> Cost:
+    """So many members in virtual time, as the slopes have them."""
+    world, seconds = hosts.settled_fleet(count), 60.0
+    before = sum(world.bytes.values()) + world.datagram_bytes_in + 2 * world.call_bytes
+    spent = hosts.processor(world, seconds)
+    volume = sum(world.bytes.values()) + world.datagram_bytes_in + 2 * world.call_bytes - before
+    return Cost(volume / count / seconds, spent / count / seconds, 0.0)
+
+
+async def _round(count: int, seconds: float) -> Kinds:
+    return Kinds(
+        await hollow(count, seconds), await real(count, seconds, True), await real(count, seconds, False),
+        virtual(count),
+    )  # fmt: skip
+
+
+def main() -> int:
+    """One round, in a network of its own; the result as JSON."""
+    quiet_net.enter()
+    quick = sys.argv[1:] == ["--quick"]
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        found = runner.run(_round(QUICK_COUNT if quick else COUNT, QUICK_REST if quick else REST))
+    sys.stdout.write(msgspec.json.encode(found).decode())
+    return 0
+
+
+def _figure(name: str, title: str, unit: str, values: list[float]) -> Figure:
+    ordered = sorted(values)
+    return Figure(name, title, unit, ordered[len(ordered) // 2], ordered[0], ordered[-1], len(ordered))
+
+
+def measure(quick: bool) -> list[Series | Figure]:
+    """Ratios and their parts, from some rounds of a process each."""
+    command = [sys.executable, "-m", "benchmarks.capacity.hollow", *(["--quick"] if quick else [])]
+    rounds: list[Kinds] = []
+    for _ in range(QUICK_ROUNDS if quick else ROUNDS):
+        done = subprocess.run(command, cwd=ROOT, env=os.environ, stdout=subprocess.PIPE, check=True)
+        rounds.append(msgspec.json.decode(done.stdout, type=Kinds))
+    count = QUICK_COUNT if quick else COUNT
+    found: list[Series | Figure] = []
+    for kind in ("hollow", "real", "bare", "virtual"):
+        costs: list[Cost] = [getattr(one, kind) for one in rounds]
+        rows = (
+            ("bytes", "B/s", [c.volume for c in costs]),
+            ("processor", "us/s", [c.processor * 1e6 for c in costs]),
+            ("memory", "B", [c.memory for c in costs]),
+        )
+        for what, unit, values in rows:
+            if any(values):
+                found.append(
+                    _figure(f"{kind}_{what}", f"{count} {kind} relays: {what} of each", unit, values)
+                )
+    ratios: dict[str, Callable[[Kinds], float]] = {
+        "ratio_bytes": lambda k: k.hollow.volume / k.real.volume,
+        "ratio_virtual_bytes": lambda k: k.virtual.volume / k.real.volume,
+        "ratio_processor": lambda k: (k.real.processor - k.bare.processor) / k.hollow.processor,
+        "ratio_virtual_processor": lambda k: (k.real.processor - k.bare.processor) / k.virtual.processor,
+        "ratio_memory": lambda k: (k.real.memory - k.bare.memory) / k.hollow.memory,
+    }
+    titles = {
+        "ratio_bytes": "bytes, hollow over real",
+        "ratio_virtual_bytes": "bytes, virtual time over real",
+        "ratio_processor": "processor of the fleet's part, real over hollow",
+        "ratio_virtual_processor": "processor of the fleet's part, real over virtual time",
+        "ratio_memory": "memory of the fleet's part, real over hollow",
+    }
+    found += [_figure(n, titles[n], "", [of(one) for one in rounds]) for n, of in ratios.items()]
+    return found
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/benchmarks/capacity/quiet_net.py
@@ -0,0 +1,33 @@
+"""A network of one process and its children with nothing but loopback, where every byte can be counted."""
+
+from __future__ import annotations
+
+import ctypes
+import fcntl
+import os
+import socket
+import struct
+from pathlib import Path
+
+CLONE_NEWUSER, CLONE_NEWNET = 0x10000000, 0x40000000
+SIOCSIFFLAGS, IFF_UP = 0x8914, 0x1
+REQUEST = struct.Struct("16sH14x")
+
+
+def enter() -> None:
+    """Move this process, which must have one thread, into a network of its own. Raises OSError."""
+    libc = ctypes.CDLL(None, use_errno=True)
+    flags = CLONE_NEWNET if os.geteuid() == 0 else CLONE_NEWNET | CLONE_NEWUSER
+    if libc.unshare(flags):
+        raise OSError(ctypes.get_errno(), "this system gives no network of one's own")
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        fcntl.ioctl(sock, SIOCSIFFLAGS, REQUEST.pack(b"lo", IFF_UP))
+
+
+def bytes_on_loopback() -> int:
+    """Bytes that went over loopback so far, each once, with headers of IP, TCP and UDP."""
+    for line in Path("/proc/self/net/dev").read_text().splitlines():
+        name, _, fields = line.partition(":")
+        if name.strip() == "lo":
+            return int(fields.split()[0])
+    raise OSError("there is no loopback")
