--- /dev/null
+++ b/benchmarks/capacity/needs.py
@@ -0,0 +1,126 @@
+"""Needs at full size, each with the arithmetic that it comes from and where its parts were measured."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from enum import Enum
+
+from benchmarks.capacity.fits import FitError, Verdict, judge
+from benchmarks.capacity.records import Figure, Series, Store
+
+
+class Kind(Enum):
+    """How far a figure may be trusted."""
+
+    MEASURED = "measured"
+    EXTRAPOLATED = "extrapolated"
+    RECKONED = "reckoned"  # from settings, code and stated assumptions alone
+    FLOOR = "at least"  # the slope does not count: what was measured at the largest size
+    MISSING = "not measured"
+
+
+WEAKEST = (Kind.MISSING, Kind.FLOOR, Kind.RECKONED, Kind.EXTRAPOLATED, Kind.MEASURED)
+
+
+def number(value: float) -> str:
+    """Three digits, thousands apart."""
+    if value == float("inf"):
+        return "never"
+    if abs(value) >= 1000:
+        digits = len(str(int(abs(value))))
+        return f"{round(value, 3 - digits):,.0f}"
+    return f"{value:.3g}"
+
+
+@dataclass(slots=True, frozen=True)
+class Need:
+    """A figure: its value, its range, and how it came about."""
+
+    value: float
+    low: float
+    high: float
+    kind: Kind
+    chain: str
+    sources: frozenset[str] = frozenset()
+
+    def times(self, factor: float, why: str) -> Need:
+        """Scaled; `why` says what the factor is."""
+        return replace(
+            self, value=self.value * factor, low=self.low * factor, high=self.high * factor,
+            chain=f"({self.chain}) x {number(factor)} ({why})",
+        )  # fmt: skip
+
+    def plus(self, other: Need) -> Need:
+        """The sum; as weak as the weaker of the two."""
+        kind = min(self.kind, other.kind, key=WEAKEST.index)
+        return Need(
+            self.value + other.value, self.low + other.low, self.high + other.high, kind,
+            f"{self.chain} + {other.chain}", self.sources | other.sources,
+        )  # fmt: skip
+
+    def reckoned(self) -> Need:
+        """The same, where an assumption came into it."""
+        return replace(self, kind=min(self.kind, Kind.RECKONED, key=WEAKEST.index))
+
+
+def reckoned(value: float, chain: str) -> Need:
+    """From settings and assumptions alone."""
+    return Need(value, value, value, Kind.RECKONED, chain)
+
+
+class Measured:
+    """The stored figures, asked for by name."""
+
+    def __init__(self, store: Store) -> None:
+        self.store = store
+
+    def verdict(self, name: str) -> Verdict | None:
+        """A series' slope, or nothing where it was not measured or makes none."""
+        series = self.store.series.get(name)
+        if series is None:
+            return None
+        try:
+            return judge(series.points)
+        except FitError:
+            return None
+
+    def at(self, name: str, size: float) -> Need:
+        """A series at a size; at least the largest measured where its slope does not count."""
+        series, verdict = self.store.series.get(name), self.verdict(name)
+        if series is None or verdict is None:
+            return Need(0.0, 0.0, 0.0, Kind.MISSING, f"{name}: not measured")
+        sources, largest = frozenset({source(series)}), max(series.points, key=lambda p: p.size)
+        if not verdict.counts:
+            chain = f"{name} at {number(largest.size)}, beyond which its slope does not count"
+            return Need(largest.value, largest.low, largest.high, Kind.FLOOR, chain, sources)
+        fitted = verdict.fit
+        form = "" if not fitted.slope else f" + {number(fitted.slope)} x {fitted.form.value}"
+        beyond = size / largest.size
+        chain = f"{name}: {number(fitted.base)}{form}, n = {number(size)}, {number(beyond)} times the largest measured"
+        low, high = verdict.range_at(size)
+        kind = Kind.EXTRAPOLATED if beyond > 1.0 else Kind.MEASURED
+        return Need(fitted.at(size), low, high, kind, chain, sources)
+
+    def figure(self, name: str) -> Need:
+        """A single figure."""
+        one = self.store.figures.get(name)
+        if one is None:
+            return Need(0.0, 0.0, 0.0, Kind.MISSING, f"{name}: not measured")
+        return Need(
+            one.value,
+            one.low,
+            one.high,
+            Kind.MEASURED,
+            f"{name} {number(one.value)}",
+            frozenset({source(one)}),
+        )
+
+    def breaks_at(self, name: str, budget: float) -> float:
+        """The size at which a series reaches a budget; infinite where it never does or was not measured."""
+        verdict = self.verdict(name)
+        return float("inf") if verdict is None or not verdict.counts else verdict.fit.size_at(budget)
+
+
+def source(one: Series | Figure) -> str:
+    """Command and revision, short."""
+    return f"{one.command.removeprefix('python -m benchmarks.capacity ')} at {one.revision}"
--- /dev/null
+++ b/benchmarks/capacity/roles.py
@@ -0,0 +1,389 @@
+"""What each role of a relay needs at the size to design for, held against its budget."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+
+from benchmarks.capacity import demand as d
+from benchmarks.capacity import limits
+from benchmarks.capacity.needs import Kind, Measured, Need, reckoned
+
+SERVERS_SEEN = 1_500  # that one relay sees: an assumption; the row of the most it may see stands beside it
+GROUPED = 1.0  # part of arrivals that belong to a group: an assumption, the worst
+HEALTH_EVERY, STATS_EVERY = 5.0, 15.0  # s between two calls of a monitor at each relay: an assumption
+TOPIC_ENTRY = 64  # bytes of one shard in a directory: an assumption
+RETURN_WITHIN = 60.0  # s in which the clients of a lost rack or zone come again: an assumption
+CALL_BYTES = 900  # of one call of discovery that brings no change, with TCP's opening and end: reckoned
+CHANGE_BYTES = 1_050  # of one that brings a change of one server
+CORE_US = 1e6
+CHANGE_RATE = d.CHANGES_A_DAY / d.DAY
+RESTART_RATE = (d.RESTARTS_A_DAY + d.FAILURES_A_DAY) / d.DAY
+RELEASE_RATE = d.RELAYS / (d.RELEASE_HOURS * 3600)
+
+
+@dataclass(slots=True, frozen=True)
+class Row:
+    """One need of a role; without a budget it only informs."""
+
+    what: str
+    unit: str
+    need: Need
+    budget: float | None = None
+
+    @property
+    def over(self) -> float | None:
+        """Need over budget."""
+        return None if self.budget is None else self.need.value / self.budget
+
+
+@dataclass(slots=True, frozen=True)
+class Role:
+    """One kind of work."""
+
+    name: str
+    control: bool  # else it is the data's, which the control budget does not cover
+    holds: str
+    mechanism: str
+    rows: tuple[Row, ...]
+    breaks: str
+    impossible: str = ""  # why it can't exist at full size, whatever it costs
+    notes: tuple[str, ...] = field(default=())
+
+    @property
+    def worst(self) -> Row | None:
+        """The row that is furthest over its budget."""
+        held = [row for row in self.rows if row.over is not None and row.need.kind is not Kind.MISSING]
+        return max(held, key=lambda row: row.over or 0.0, default=None)
+
+
+def size(value: float, what: str) -> str:
+    """Where something breaks, in words."""
+    if math.isinf(value):
+        return f"no size found at which {what} is spent"
+    return f"{value:,.0f} spend {what}"
+
+
+def connections(m: Measured) -> Role:
+    """Standing connections."""
+    each = d.CONNECTIONS_PER_RELAY
+    zone = d.CONNECTIONS / d.ZONES / (d.RELAYS * (1 - 1 / d.ZONES)) / RETURN_WITHIN
+    rack = d.RACK * each / d.RELAYS / RETURN_WITHIN
+    release = d.CONNECTIONS / (d.RELEASE_HOURS * 3600) / d.RELAYS
+    rows: list[Row] = [
+        Row("descriptors", "", reckoned(2.0 * each, f"{each:,} connections x 2"), limits.DESCRIPTORS)
+    ]
+    for front in ("line", "nats"):
+        resting, memory = m.at(f"{front}_resting", each), m.at(f"{front}_memory", each)
+        rows += [
+            Row(f"{front}: processor at rest", "cores", resting.times(1 / CORE_US, "s a us"), 1.0),
+            Row(f"{front}: memory", "MiB", memory.times(2**-20, "MiB a byte")),
+        ]
+        for moment, rate in (("a rack lost", rack), ("a zone lost", zone), ("a release", release)):
+            opening = m.at(f"{front}_opening", max(series_largest(m, f"{front}_opening"), 1.0))
+            need = opening.times(rate / CORE_US, f"{rate:.1f} openings a s, in cores").reckoned()
+            rows.append(Row(f"{front}: openings, {moment}", "cores", need, 1.0))
+    line, nats = m.breaks_at("line_resting", CORE_US), m.breaks_at("nats_resting", CORE_US)
+    return Role(
+        "a relay's connections", False, f"{each:,} clients, each with one connection to a server",
+        "a process with one loop (`violetdoor/fronts`, `net/acceptor.py`); more than one process a machine: none yet",
+        tuple(rows), f"line: {size(line, 'a core at rest')}; nats: {size(nats, 'a core at rest')}; "
+        f"{limits.DESCRIPTORS // 2:,} connections spend the descriptors",
+    )  # fmt: skip
+
+
+def series_largest(m: Measured, name: str) -> float:
+    """The largest size that was measured."""
+    series = m.store.series.get(name)
+    return 0.0 if series is None else max(point.size for point in series.points)
+
+
+def deliveries(m: Measured) -> Role:
+    """What goes to clients."""
+    rate, rows = d.DELIVERIES_PER_RELAY, list[Row]()
+    for front in ("line", "nats"):
+        name = f"{front}_delivering"
+        one = m.at(name, max(series_largest(m, name), 1.0))
+        need = one.times(rate / CORE_US, f"{rate:,.0f} deliveries a s of each relay, in cores")
+        rows.append(Row(f"{front}: processor", "cores", need, 1.0))
+    spread = d.LISTENERS_MOST / d.RELAYS
+    rows.append(Row(
+        "listeners of the largest topic at one relay", "",
+        reckoned(spread, f"{d.LISTENERS_MOST:,} / {d.RELAYS:,}, if evenly spread"),
+    ))  # fmt: skip
+    return Role(
+        "a relay's deliveries", False, "bytes that wait for slow clients, bounded each",
+        "one connection to a server for each client; a topic's message comes once for each listener: fan-out inside the "
+        "relay none yet", tuple(rows), "one core's worth of deliveries a second: 1,000,000 us over the us of one",
+    )  # fmt: skip
+
+
+def decisions(m: Measured) -> Role:
+    """The decision module."""
+    each = d.CONNECTIONS_PER_RELAY
+    seen = f"{SERVERS_SEEN:,} servers"
+    tick, change = m.at("module_tick", SERVERS_SEEN), m.at("module_change", SERVERS_SEEN)
+    steady = tick.times(1 / CORE_US, "one a s, in cores").plus(
+        change.times(CHANGE_RATE / CORE_US, f"{CHANGE_RATE:.3f} changes a s, in cores")
+    )
+    arrival = m.at("standing_arrival_group", each)
+    zone = d.CONNECTIONS / d.ZONES / (d.RELAYS * (1 - 1 / d.ZONES)) / RETURN_WITHIN
+    busy = arrival.times(
+        zone * GROUPED / CORE_US, f"{zone:.1f} arrivals a s, all with groups, in cores"
+    ).reckoned()
+    memory = (
+        m.at("standing_memory", each).plus(m.at("module_memory", SERVERS_SEEN)).times(2**-20, "MiB a byte")
+    )
+    most = min(
+        m.breaks_at("module_tick", d.CORE_PART * CORE_US), m.breaks_at("module_change", d.CORE_PART * CORE_US)
+    )
+    return Role(
+        "a relay's decisions", False, f"a record of each request and of each of {seen}",
+        "`lynxdeck/policy.py`; a part of the servers for each relay where there are more: none yet",
+        (
+            Row(f"ticks and changes of the list, {seen}", "cores", steady, d.CORE_PART),
+            Row("one arrival with a group, all connections standing", "us", arrival),
+            Row("arrivals after a zone is lost", "cores", busy, 1.0),
+            Row("memory", "MiB", memory),
+        ),
+        f"{size(most, 'the control part of a core by ticks, or by one change a s')} (servers that one relay may see)",
+    )  # fmt: skip
+
+
+def listing(m: Measured) -> Role:
+    """The watch on the server list."""
+    calls = 1 / limits.LIST_HOLD_S
+    rest = reckoned(calls * CALL_BYTES, f"{calls} calls a s x {CALL_BYTES} B (reckoned)")
+    day = rest.plus(reckoned(CHANGE_RATE * CHANGE_BYTES, f"{CHANGE_RATE:.3f} changes a s x {CHANGE_BYTES} B"))
+    read = m.at("list_read_change", SERVERS_SEEN).times(CHANGE_RATE / CORE_US, "changes a s, in cores")
+    whole = m.at("list_read", SERVERS_SEEN).plus(m.at("module_whole_list", SERVERS_SEEN))
+    most = m.breaks_at("list_bytes", limits.LIST_BODY)
+    return Role(
+        "a relay's watch on the server list", True, f"a line of each of {SERVERS_SEEN:,} servers",
+        "`violetdoor/net/discovery.py`, one call after another, held 4 s",
+        (
+            Row("bytes at rest", "B/s", rest, d.BYTES_A_SECOND),
+            Row("bytes on an ordinary day", "B/s", day, d.BYTES_A_SECOND),
+            Row("processor on an ordinary day", "cores", read, d.CORE_PART),
+            Row("one whole list, at a start or after a cut: bytes", "B", m.at("list_bytes", SERVERS_SEEN)),
+            Row("one whole list: processor", "us", whole),
+        ),
+        f"{size(most, 'the 1 MiB that an answer may have')} (servers on the list)",
+    )  # fmt: skip
+
+
+def view(m: Measured) -> Role:
+    """The flat view of the fleet."""
+    n = float(d.RELAYS)
+    rest, restart, death = (
+        m.at("view_rest_bytes", n),
+        m.at("view_restart_bytes", n),
+        m.at("view_death_bytes", n),
+    )
+    day = rest.plus(restart.times(RESTART_RATE, f"{RESTART_RATE:.4f} restarts and failures a s"))
+    ratio = m.figure("ratio_virtual_processor")
+    rest_us = m.at("view_rest_processor", n)
+    processor = Need(
+        rest_us.value * ratio.value, rest_us.low, rest_us.high * ratio.high,
+        rest_us.kind if ratio.kind is not Kind.MISSING else Kind.MISSING,
+        f"({rest_us.chain}) x {ratio.chain}; the range begins at virtual time alone", rest_us.sources | ratio.sources,
+    ).times(1 / CORE_US, "s a us")  # fmt: skip
+    day_ms = m.at("view_restart_processor", n)
+    restarts = day_ms.times(RESTART_RATE / 1e3, f"{RESTART_RATE:.4f} restarts a s, in cores")
+    memory = m.at("view_memory", n).times(2**-20, "MiB a byte")
+    rows = [
+        Row("packets at rest, out and in", "1/s", m.at("view_rest_packets", n)),
+        Row("bytes at rest: datagrams", "B/s", m.at("view_rest_datagrams", n), d.BYTES_A_SECOND),
+        Row(
+            "bytes at rest: calls that bring the whole view",
+            "B/s",
+            m.at("view_rest_calls", n),
+            d.BYTES_A_SECOND,
+        ),
+        Row("bytes at rest", "B/s", rest, d.BYTES_A_SECOND),
+        Row("bytes on an ordinary day", "B/s", day, d.BYTES_A_SECOND),
+        Row("processor at rest", "cores", processor, d.CORE_PART),
+        Row("processor of restarts on an ordinary day", "cores", restarts, d.CORE_PART),
+        Row("memory", "MiB", memory, d.MEMORY_BYTES / 2**20),
+        Row("the longest datagram", "B", m.at("view_longest", n), limits.VIEW_DATAGRAM),
+        Row("one whole view in a message", "B", m.at("view_bytes", n), limits.VIEW_FRAME),
+        Row("members of one view", "", reckoned(n, "all relays"), limits.VIEW_MEMBERS),
+    ]
+    moments = (
+        ("a rack lost", d.RACK, 10.0), ("a zone lost", d.RELAYS_PER_ZONE, 10.0),
+        ("a region cut off", d.RELAYS_PER_REGION, 10.0),
+    )  # fmt: skip
+    for moment, lost, within in moments:
+        need = death.times(
+            lost / within, f"{lost:.0f} deaths in {within:.0f} s, as if each was a change alone: the most"
+        )
+        rows.append(Row(f"bytes, {moment}, for 10 s", "B/s", need.reckoned(), d.BYTES_A_SECOND))
+    healing = math.ceil(d.RELAYS_PER_REGION / limits.VIEW_JOINS)
+    joins = restart.times(
+        healing / 10.0, f"{healing} changes of {limits.VIEW_JOINS} joins in 10 s"
+    ).reckoned()
+    release = restart.times(
+        RELEASE_RATE, f"{RELEASE_RATE:.3f} restarts a s in a release of {d.RELEASE_HOURS:g} h"
+    )
+    rows += [
+        Row("bytes, that region heals, for 10 s", "B/s", joins, d.BYTES_A_SECOND),
+        Row("bytes, a release, beyond rest", "B/s", release.reckoned(), d.BYTES_A_SECOND),
+    ]
+    most = m.breaks_at("view_rest_bytes", d.BYTES_A_SECOND)
+    return Role(
+        "a relay's part in the fleet's view", True, f"{d.RELAYS:,} members, their health, the newest round of heartbeats",
+        "`violetdoor/fleet`, one flat view; beyond it: none yet", tuple(rows),
+        f"{size(most, 'the bytes at rest')}; {limits.VIEW_MEMBERS:,} members fill a view",
+        f"a view holds {limits.VIEW_MEMBERS:,} members at the most" if limits.VIEW_MEMBERS < d.RELAYS else "",
+    )  # fmt: skip
+
+
+def shared_map(m: Measured) -> Role:
+    """Shared map and bans."""
+    kept = CHANGE_RATE * limits.MAP_TOMBSTONE_S
+    exchanges = 4 / limits.VIEW_SYNC_S
+    full = m.at("map_bytes", limits.MAP_ENTRIES)
+    why = "an exchange each 2.5 s made and one served, the map both ways in each"
+    day = m.at("map_bytes", kept).times(exchanges, why).reckoned()
+    merge = m.at("map_merge_known", limits.MAP_ENTRIES).times(
+        exchanges / 2 / CORE_US, "maps taken in a s, in cores"
+    )
+    return Role(
+        "shared map and bans", True, f"{limits.MAP_ENTRIES:,} entries at the most, the same at all",
+        "`violetdoor/fleet/shared.py`: told on with packets, exchanged whole with each call of the view",
+        (
+            Row("entries where each change of a day is one, kept an hour", "",
+                reckoned(kept, f"{CHANGE_RATE:.3f} a s x {limits.MAP_TOMBSTONE_S:.0f} s"), limits.MAP_ENTRIES),
+            Row("bytes on an ordinary day", "B/s", day, d.BYTES_A_SECOND),
+            Row("bytes, the map full", "B/s", full.times(exchanges, why).reckoned(), d.BYTES_A_SECOND),
+            Row("processor, the map full", "cores", merge, d.CORE_PART),
+            Row("memory, the map full", "MiB", m.at("map_memory", limits.MAP_ENTRIES).times(2**-20, "MiB a byte"),
+                d.MEMORY_BYTES / 2**20),
+        ),
+        f"{size(m.breaks_at('map_bytes', d.BYTES_A_SECOND / exchanges), 'the bytes a second')} (entries)",
+    )  # fmt: skip
+
+
+def owners(m: Measured) -> Role:
+    """Whose a key is."""
+    one = m.at("owner_lookup", d.RELAYS)
+    every = one.times(d.SHARDS / CORE_US, f"{d.SHARDS:,} shards, in s of a core")
+    budget = d.CORE_PART * d.CHANGE_WITHIN_S
+    return Role(
+        "owner look-ups", True, "nothing beyond the view", "`View.owner`, all members weighed for each key",
+        (
+            Row("one look-up", "us", one),
+            Row("all shards anew after a change of members", "core s", every, budget),
+            Row("restarts and failures a s, each such a change", "1/s",
+                reckoned(RESTART_RATE, f"({d.RESTARTS_A_DAY:,} + {d.FAILURES_A_DAY}) / 86,400 s")),
+        ),
+        f"one relay's own part of a core in {d.CHANGE_WITHIN_S:g} s allows {budget:.2f} s; "
+        f"{size(m.breaks_at('owner_lookup', budget * CORE_US / d.SHARDS), 'it with all shards')} (members)",
+    )  # fmt: skip
+
+
+def cold(m: Measured) -> Role:
+    """Shares of cold servers."""
+    wrong = d.RELAYS / min(d.RELAYS, limits.VIEW_MEMBERS)
+    return Role(
+        "cold-server shares", True, "one number: how many relays share the servers", "`Node.sharers`, from the view",
+        (
+            Row("bytes beyond the view's", "B/s", reckoned(0.0, "nothing of its own is sent"), d.BYTES_A_SECOND),
+            Row("a cold server's load where each relay counts one full view only, as a part of what it can take", "",
+                reckoned(wrong, f"{d.RELAYS:,} / {limits.VIEW_MEMBERS:,}"), 1.0),
+        ),
+        f"{limits.VIEW_MEMBERS:,} relays: as the view", "as the view: relays outside it are not counted",
+    )  # fmt: skip
+
+
+def console(m: Measured) -> Role:
+    """Operators' calls and monitors."""
+    health, stats = m.at("console_health", SERVERS_SEEN), m.at("console_stats", SERVERS_SEEN)
+    need = health.times(1 / HEALTH_EVERY / CORE_US, f"each {HEALTH_EVERY:g} s, in cores").plus(
+        stats.times(1 / STATS_EVERY / CORE_US, f"each {STATS_EVERY:g} s, in cores")
+    )
+    return Role(
+        "operators' calls", True, f"{limits.CONSOLE_CALLERS} callers at a time", "`violetdoor/console`, one call a connection; "
+        "a call that reaches all relays: the shared map for bans, else none yet",
+        (
+            Row("processor, a monitor's calls", "cores", need.reckoned(), d.CORE_PART),
+            Row("calls a s over the fleet that bring a day's changes to each relay", "1/s",
+                reckoned(CHANGE_RATE * d.RELAYS, f"{CHANGE_RATE:.3f} x {d.RELAYS:,}, if made one by one")),
+        ),
+        "not a matter of the fleet's size, as each relay answers for itself",
+    )  # fmt: skip
+
+
+def control_machine(m: Measured) -> Role:
+    """Machines that are set aside for control."""
+    each = d.RELAYS / d.CONTROL_MACHINES
+    return Role(
+        "control machine", True, "marked place: what it holds is measured by `benchmarks/fleet_scale`, not run yet", "none yet",
+        (
+            Row("relays of one machine", "", reckoned(each, f"{d.RELAYS:,} / {d.CONTROL_MACHINES}")),
+            Row("bytes a s if all its relays spend their budget on it", "B/s",
+                reckoned(each * d.BYTES_A_SECOND, f"{each:.1f} x {d.BYTES_A_SECOND:,}")),
+            Row("restarts a s that one machine sees", "1/s",
+                reckoned(RESTART_RATE / d.CONTROL_MACHINES, f"{RESTART_RATE:.4f} / {d.CONTROL_MACHINES}")),
+        ),
+        "unknown until it exists", "there is none",
+    )  # fmt: skip
+
+
+def beyond_one_view(m: Measured) -> Role:
+    """Membership of more relays than one view holds."""
+    return Role(
+        "membership beyond one flat view", True,
+        "marked place: bytes, processor, memory and times are to come from `benchmarks/fleet_scale`, not run yet", "none yet",
+        (Row("relays to hold", "", reckoned(d.RELAYS, "all"), limits.VIEW_MEMBERS),),
+        "unknown until it exists", "there is none",
+    )  # fmt: skip
+
+
+def discovery(m: Measured) -> Role:
+    """The other side of the watches."""
+    rest = d.RELAYS / limits.LIST_HOLD_S
+    day = CHANGE_RATE * d.RELAYS
+    whole = m.at("list_bytes", SERVERS_SEEN)
+    heal = d.RELAYS_PER_REGION * limits.LIST_CALL_S
+    return Role(
+        "discovery's side", True, "the list, and a held call of each relay", "the deployment's own; the relay spreads its calls",
+        (
+            Row("calls a s at rest", "1/s", reckoned(rest, f"{d.RELAYS:,} / {limits.LIST_HOLD_S:g} s")),
+            Row("answers a s on an ordinary day, beyond rest", "1/s", reckoned(day, f"{CHANGE_RATE:.3f} x {d.RELAYS:,}")),
+            Row("answers to one change, at once", "", reckoned(d.RELAYS, "all relays")),
+            Row("a region heals, whole lists: s of discovery, a call each 125 ms as the module takes it", "s",
+                reckoned(heal, f"{d.RELAYS_PER_REGION:.0f} x {limits.LIST_CALL_S} s"), d.CHANGE_WITHIN_S),
+            Row("a region heals, whole lists", "MB",
+                whole.times(d.RELAYS_PER_REGION / 1e6, f"{d.RELAYS_PER_REGION:.0f} relays, in MB").reckoned()),
+        ),
+        f"{d.CHANGE_WITHIN_S / limits.LIST_CALL_S:.0f} relays that want the whole list at once, one discovery",
+    )  # fmt: skip
+
+
+def topics(m: Measured) -> Role:
+    """Which shard is where."""
+    table = d.SHARDS * TOPIC_ENTRY
+    return Role(
+        "topic directory", True, f"{d.SHARDS:,} shards", "none yet: it does not exist",
+        (
+            Row("memory, the whole table at each relay", "MiB",
+                reckoned(table / 2**20, f"{d.SHARDS:,} x {TOPIC_ENTRY} B (assumed)"), d.MEMORY_BYTES / 2**20),
+            Row("the whole table once a day to each relay", "B/s",
+                reckoned(table / d.DAY, f"{table:,} B / 86,400 s"), d.BYTES_A_SECOND),
+            Row("shards that a lost relay's successors take over", "",
+                reckoned(d.SHARDS / d.RELAYS, f"{d.SHARDS:,} / {d.RELAYS:,}")),
+        ),
+        "unknown until it exists",
+    )  # fmt: skip
+
+
+ROLES = (
+    connections, deliveries, decisions, listing, view, beyond_one_view, shared_map, owners, cold, console,
+    control_machine, discovery, topics,
+)  # fmt: skip
+
+
+def all_roles(m: Measured) -> list[Role]:
+    """Every role, in the page's order."""
+    return [make(m) for make in ROLES]
