Capacity: the page's writer, needs held against budgets; the view's measurements run by parts

fleet_view wrote its page only after a whole run, which holds the machine for over ten minutes: each part now renews its own section and says its own command and revision.

--- a/benchmarks/capacity/limits.py
+++ b/benchmarks/capacity/limits.py
@@ -9,6 +9,7 @@
 from violetdoor.fleet.shared import ENTRIES_MOST, TOMBSTONE_MS
 from violetdoor.fleet.view import JOINS_MOST, MEMBERS_MOST
 from violetdoor.net.discovery import BODY_MOST, HOLD_MS
+from violetdoor.settings import Nats
 
 VIEW_MEMBERS = MEMBERS_MOST
 VIEW_JOINS = JOINS_MOST  # by one change
@@ -21,4 +22,5 @@
 LIST_HOLD_S = HOLD_MS / 1000
 LIST_CALL_S = CALL / 1000  # that one whole list keeps a discovery busy, as the module takes it
 CONSOLE_CALLERS = CALLERS_MOST
+NATS_PING_S = Nats().ping_interval  # s between two PINGs to a server, for each client
 DESCRIPTORS = 20_000  # of one relay on the platform; a connection takes two
--- a/benchmarks/capacity/roles.py
+++ b/benchmarks/capacity/roles.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from benchmarks.capacity import demand as d
 from benchmarks.capacity import limits
@@ -46,9 +46,9 @@
     holds: str
     mechanism: str
     rows: tuple[Row, ...]
+    moments: str  # what a rack, a zone, a release, and a region cut off and healed do, where no row says it
     breaks: str
     impossible: str = ""  # why it can't exist at full size, whatever it costs
-    notes: tuple[str, ...] = field(default=())
 
     @property
     def worst(self) -> Row | None:
@@ -71,8 +71,10 @@
     rack = d.RACK * each / d.RELAYS / RETURN_WITHIN
     release = d.CONNECTIONS / (d.RELEASE_HOURS * 3600) / d.RELAYS
     rows: list[Row] = [
-        Row("descriptors", "", reckoned(2.0 * each, f"{each:,} connections x 2"), limits.DESCRIPTORS)
-    ]
+        Row("descriptors", "", reckoned(2.0 * each, f"{each:,} connections x 2"), limits.DESCRIPTORS),
+        Row("nats: PINGs and PONGs at rest, out and in", "1/s",
+            reckoned(2 * each / limits.NATS_PING_S, f"{each:,} x 2, one to the server each {limits.NATS_PING_S:g} s")),
+    ]  # fmt: skip
     for front in ("line", "nats"):
         resting, memory = m.at(f"{front}_resting", each), m.at(f"{front}_memory", each)
         rows += [
@@ -87,7 +89,8 @@
     return Role(
         "a relay's connections", False, f"{each:,} clients, each with one connection to a server",
         "a process with one loop (`violetdoor/fronts`, `net/acceptor.py`); more than one process a machine: none yet",
-        tuple(rows), f"line: {size(line, 'a core at rest')}; nats: {size(nats, 'a core at rest')}; "
+        tuple(rows), "rack, zone and release: rows; a region that is cut off keeps its clients and its own servers",
+        f"line: {size(line, 'a core at rest')}; nats: {size(nats, 'a core at rest')}; "
         f"{limits.DESCRIPTORS // 2:,} connections spend the descriptors",
     )  # fmt: skip
 
@@ -107,6 +110,9 @@
         need = one.times(rate / CORE_US, f"{rate:,.0f} deliveries a s of each relay, in cores")
         rows.append(Row(f"{front}: processor", "cores", need, 1.0))
     spread = d.LISTENERS_MOST / d.RELAYS
+    rows.append(
+        Row("messages, in and out", "1/s", reckoned(2 * rate, f"2 x {rate:,.0f}, each comes in and goes out"))
+    )
     rows.append(Row(
         "listeners of the largest topic at one relay", "",
         reckoned(spread, f"{d.LISTENERS_MOST:,} / {d.RELAYS:,}, if evenly spread"),
@@ -114,7 +120,8 @@
     return Role(
         "a relay's deliveries", False, "bytes that wait for slow clients, bounded each",
         "one connection to a server for each client; a topic's message comes once for each listener: fan-out inside the "
-        "relay none yet", tuple(rows), "one core's worth of deliveries a second: 1,000,000 us over the us of one",
+        "relay none yet", tuple(rows), "all: what is delivered elsewhere meanwhile is not delivered here; what then comes at "
+        "once is not measured", "one core's worth of deliveries a second: 1,000,000 us over the us of one",
     )  # fmt: skip
 
 
@@ -146,6 +153,7 @@
             Row("arrivals after a zone is lost", "cores", busy, 1.0),
             Row("memory", "MiB", memory),
         ),
+        "zone: a row; a rack is 40 relays where a zone is 233; a release: 3.5 arrivals a s; a cut: the list stays as it was",
         f"{size(most, 'the control part of a core by ticks, or by one change a s')} (servers that one relay may see)",
     )  # fmt: skip
 
@@ -167,7 +175,10 @@
             Row("processor on an ordinary day", "cores", read, d.CORE_PART),
             Row("one whole list, at a start or after a cut: bytes", "B", m.at("list_bytes", SERVERS_SEEN)),
             Row("one whole list: processor", "us", whole),
+            Row("messages at rest, out and in", "1/s", reckoned(2 * calls, f"a call and its answer each {limits.LIST_HOLD_S:g} s")),
         ),
+        "rack and zone of servers: one change that has them all; a release: a whole list for each relay once; a cut: calls fail, "
+        "back-off, then a whole list",
         f"{size(most, 'the 1 MiB that an answer may have')} (servers on the list)",
     )  # fmt: skip
 
@@ -233,6 +244,7 @@
     return Role(
         "a relay's part in the fleet's view", True, f"{d.RELAYS:,} members, their health, the newest round of heartbeats",
         "`violetdoor/fleet`, one flat view; beyond it: none yet", tuple(rows),
+        "rows; the smaller side of a cut holds no lease",
         f"{size(most, 'the bytes at rest')}; {limits.VIEW_MEMBERS:,} members fill a view",
         f"a view holds {limits.VIEW_MEMBERS:,} members at the most" if limits.VIEW_MEMBERS < d.RELAYS else "",
     )  # fmt: skip
@@ -260,6 +272,7 @@
             Row("memory, the map full", "MiB", m.at("map_memory", limits.MAP_ENTRIES).times(2**-20, "MiB a byte"),
                 d.MEMORY_BYTES / 2**20),
         ),
+        "all: it travels with the view's calls, each of which brings it whole; after a cut both sides have all within one",
         f"{size(m.breaks_at('map_bytes', d.BYTES_A_SECOND / exchanges), 'the bytes a second')} (entries)",
     )  # fmt: skip
 
@@ -277,6 +290,7 @@
             Row("restarts and failures a s, each such a change", "1/s",
                 reckoned(RESTART_RATE, f"({d.RESTARTS_A_DAY:,} + {d.FAILURES_A_DAY}) / 86,400 s")),
         ),
+        "rack, zone, cut and healing: one change of members each, if they come together; a release: one for each restart",
         f"one relay's own part of a core in {d.CHANGE_WITHIN_S:g} s allows {budget:.2f} s; "
         f"{size(m.breaks_at('owner_lookup', budget * CORE_US / d.SHARDS), 'it with all shards')} (members)",
     )  # fmt: skip
@@ -292,6 +306,7 @@
             Row("a cold server's load where each relay counts one full view only, as a part of what it can take", "",
                 reckoned(wrong, f"{d.RELAYS:,} / {limits.VIEW_MEMBERS:,}"), 1.0),
         ),
+        "in a cut each side counts at least half of the view, so both together take twice the whole at the most",
         f"{limits.VIEW_MEMBERS:,} relays: as the view", "as the view: relays outside it are not counted",
     )  # fmt: skip
 
@@ -309,7 +324,9 @@
             Row("processor, a monitor's calls", "cores", need.reckoned(), d.CORE_PART),
             Row("calls a s over the fleet that bring a day's changes to each relay", "1/s",
                 reckoned(CHANGE_RATE * d.RELAYS, f"{CHANGE_RATE:.3f} x {d.RELAYS:,}, if made one by one")),
+            Row("calls a s at one relay", "1/s", reckoned(1 / HEALTH_EVERY + 1 / STATS_EVERY, "health and stats, as assumed")),
         ),
+        "all: a relay that is not reached is not called; nothing more comes",
         "not a matter of the fleet's size, as each relay answers for itself",
     )  # fmt: skip
 
@@ -326,7 +343,7 @@
             Row("restarts a s that one machine sees", "1/s",
                 reckoned(RESTART_RATE / d.CONTROL_MACHINES, f"{RESTART_RATE:.4f} / {d.CONTROL_MACHINES}")),
         ),
-        "unknown until it exists", "there is none",
+        "unknown until it exists", "unknown until it exists", "there is none",
     )  # fmt: skip
 
 
@@ -336,7 +353,7 @@
         "membership beyond one flat view", True,
         "marked place: bytes, processor, memory and times are to come from `benchmarks/fleet_scale`, not run yet", "none yet",
         (Row("relays to hold", "", reckoned(d.RELAYS, "all"), limits.VIEW_MEMBERS),),
-        "unknown until it exists", "there is none",
+        "unknown until it exists", "unknown until it exists", "there is none",
     )  # fmt: skip
 
 
@@ -357,6 +374,7 @@
             Row("a region heals, whole lists", "MB",
                 whole.times(d.RELAYS_PER_REGION / 1e6, f"{d.RELAYS_PER_REGION:.0f} relays, in MB").reckoned()),
         ),
+        "rack and zone of servers: one change, told to all; a release: a whole list for each restart; healing: rows",
         f"{d.CHANGE_WITHIN_S / limits.LIST_CALL_S:.0f} relays that want the whole list at once, one discovery",
     )  # fmt: skip
 
@@ -374,7 +392,7 @@
             Row("shards that a lost relay's successors take over", "",
                 reckoned(d.SHARDS / d.RELAYS, f"{d.SHARDS:,} / {d.RELAYS:,}")),
         ),
-        "unknown until it exists",
+        "unknown until it exists", "unknown until it exists",
     )  # fmt: skip
 
 
--- a/benchmarks/fleet_view.py
+++ b/benchmarks/fleet_view.py
@@ -1,8 +1,8 @@
 """How soon the fleet's view settles, and what it costs: `python -m benchmarks.fleet_view [--write] [--quick]`.
 
-Three parts: times in virtual time by size of the fleet, from many seeds; wrongful removals in an hour of
-virtual time under loss; and real processes on loopback under the fault rig, with what they cost and what
-clients notice. Virtual fleets are played side by side, one process a core.
+Four parts, which `--part` runs alone: times in virtual time by size of the fleet, from many seeds; wrongful
+removals in an hour of virtual time under loss; bytes; and real processes on loopback under the fault rig, with
+what they cost and what clients notice. Virtual fleets are played side by side, one process a core.
 """
 
 from __future__ import annotations
@@ -10,6 +10,7 @@
 import argparse
 import asyncio
 import os
+import re
 import sys
 from collections import defaultdict
 from collections.abc import Callable, Iterable
@@ -17,6 +18,7 @@
 from pathlib import Path
 from typing import Any
 
+from benchmarks.capacity.records import current_revision
 from benchmarks.machine import described, quantile
 from violetdoor.faults import checks, rig
 from violetdoor.faults.history import History
@@ -29,6 +31,7 @@
 LOSSES = 0.05, 0.1, 0.2
 ROUND = 62.0  # s: a relay that comes back is let in at once only once a minute
 HOUR, SLICE = 3600.0, 450.0  # s; an hour is played as slices side by side
+WORKERS = max(1, (os.cpu_count() or 2) - 1)
 
 
 def names(count: int, first: int = 0) -> list[str]:
@@ -254,48 +257,99 @@
     return f"{quantile(ordered, 0.5):.2f} / {quantile(ordered, 0.99):.2f} / {ordered[-1]:.2f}"
 
 
-def main() -> int:
-    """Measure and print; `--write` keeps the result."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--write", action="store_true")
-    parser.add_argument("--quick", action="store_true", help="few seeds, five minutes for an hour, no 1,000")
-    args = parser.parse_args()
-    sizes = [s for s in SEEDS if not args.quick or s < 1000]
-    jobs = [(k, s, n) for s in reversed(sizes) for k in FAULTS for n in range(2 if args.quick else SEEDS[s])]
-    slices = [
-        (loss, n, SLICE / 8 if args.quick else SLICE) for loss in LOSSES for n in range(int(HOUR / SLICE))
-    ]
+def times_section(quick: bool, most: int) -> list[str]:
+    """How soon each fault is settled, by size of the fleet."""
+    sizes = [s for s in SEEDS if s <= most and (not quick or s < 1000)]
+    jobs = [(k, s, n) for s in reversed(sizes) for k in FAULTS for n in range(2 if quick else SEEDS[s])]
     times: dict[tuple[str, int], list[float]] = defaultdict(list)
-    removed: dict[float, list[int]] = {loss: [0, 0] for loss in LOSSES}
-    with ProcessPoolExecutor(max(1, (os.cpu_count() or 2) - 1)) as pool:
+    with ProcessPoolExecutor(WORKERS) as pool:
         for kind, size, took in pool.map(timed, jobs):
             times[kind, size].append(took)
-        for loss, out, stale in pool.map(lossy, slices):
-            removed[loss][0] += out
-            removed[loss][1] += stale
-        rates = list(pool.map(traffic, [s for s in sizes if s < 1000]))
     lines = [
-        "# The fleet's view, measured", "",
-        f"On {described()}, by `python -m benchmarks.fleet_view{' --quick' * args.quick} --write`.", "",
-        "## Virtual time", "",
         "Seconds from the fault until all that should stand at one view stand there and hold its lease, p50 / p99 / max; "
-        "the seeds of a row: " + ", ".join(f"{2 if args.quick else SEEDS[s]} at {s}" for s in sizes) + ". One way "
+        "the seeds of a row: " + ", ".join(f"{2 if quick else SEEDS[s]} at {s}" for s in sizes) + ". One way "
         "takes 0.4 to 1.2 ms.", "",
         "| fault | " + " | ".join(f"{s} relays" for s in sizes) + " |", "| --- |" + " --- |" * len(sizes),
     ]  # fmt: skip
-    for kind in FAULTS:
-        lines.append(f"| {kind} | " + " | ".join(spread(times[kind, s]) for s in sizes) + " |")
-    lines += ["", "An hour of 200 relays, none of which dies:", "",
-              "| datagrams lost | members taken out | members without a lease for a while |", "| --- | --- | --- |"]  # fmt: skip
-    lines += [f"| {loss:.0%} | {out} | {stale} |" for loss, (out, stale) in removed.items()]
-    lines += ["", "Bytes a second that a member sends in calm, with the headers of IP and UDP:", "",
-              "| relays | mean | most |", "| --- | --- | --- |"]  # fmt: skip
-    lines += [f"| {size} | {mean:.0f} | {most:.0f} |" for size, mean, most in rates]
-    lines += ["", "## Processes on loopback", "", *asyncio.run(processes(args.quick))]
-    text = "\n".join(lines) + "\n"
-    print(text)
-    if args.write:
-        TARGET.write_text(text)
+    return lines + [
+        f"| {kind} | " + " | ".join(spread(times[kind, s]) for s in sizes) + " |" for kind in FAULTS
+    ]
+
+
+def loss_section(quick: bool, most: int) -> list[str]:
+    """Members that are taken out wrongly where datagrams are lost."""
+    seconds = SLICE / 8 if quick else SLICE
+    slices = [(loss, n, seconds) for loss in LOSSES for n in range(int(HOUR / SLICE))]
+    removed: dict[float, list[int]] = {loss: [0, 0] for loss in LOSSES}
+    with ProcessPoolExecutor(WORKERS) as pool:
+        for loss, out, stale in pool.map(lossy, slices):
+            removed[loss][0] += out
+            removed[loss][1] += stale
+    played = int(HOUR / SLICE) * seconds / 60
+    lines = [f"{played:g} minutes of 200 relays at each loss, none of which dies:", "",
+             "| datagrams lost | members taken out | members without a lease for a while |", "| --- | --- | --- |"]  # fmt: skip
+    return lines + [f"| {loss:.0%} | {out} | {stale} |" for loss, (out, stale) in removed.items()]
+
+
+def traffic_section(quick: bool, most: int) -> list[str]:
+    """What members send while nothing happens."""
+    with ProcessPoolExecutor(WORKERS) as pool:
+        rates = list(pool.map(traffic, [s for s in SEEDS if s <= most and s < 1000]))
+    lines = ["Bytes a second that a member sends in calm as datagrams, with the headers of IP and UDP. Calls over TCP are "
+             "not in them: `docs/CAPACITY.md` has both.", "", "| relays | mean | most |", "| --- | --- | --- |"]  # fmt: skip
+    return lines + [f"| {size} | {mean:.0f} | {most:.0f} |" for size, mean, most in rates]
+
+
+def processes_section(quick: bool, most: int) -> list[str]:
+    """Real processes under the rig."""
+    return asyncio.run(processes(quick))
+
+
+SECTIONS: dict[str, tuple[str, Callable[[bool, int], list[str]]]] = {
+    "times": ("Faults in virtual time", times_section),
+    "loss": ("Lost datagrams in virtual time", loss_section),
+    "traffic": ("Bytes in virtual time", traffic_section),
+    "processes": ("Processes on loopback", processes_section),
+}
+
+
+def page(sections: dict[str, str]) -> str:
+    """The page of what was measured so far; what was not says so."""
+    lines = ["# The fleet's view, measured", ""]
+    for part, (title, _) in SECTIONS.items():
+        body = sections.get(part, "Not run.\n")
+        lines += [f"## {title}", "", f"<!-- generated: {part} -->", f"{body}<!-- end: {part} -->", ""]
+    return "\n".join(lines[:-1]) + "\n"
+
+
+def kept() -> dict[str, str]:
+    """The sections that the page has."""
+    text = TARGET.read_text() if TARGET.exists() else ""
+    return {
+        m[1]: m[2] for m in re.finditer(r"<!-- generated: (\w+) -->\n(.*?)<!-- end: \1 -->", text, re.DOTALL)
+    }
+
+
+def main() -> int:
+    """Measure and print; `--write` keeps the result."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--write", action="store_true", help="renew the sections that were run")
+    parser.add_argument(
+        "--quick", action="store_true", help="few seeds, a quarter of an hour for an hour, no 1,000"
+    )
+    parser.add_argument("--part", action="append", choices=SECTIONS, help="a section; may be given again")
+    parser.add_argument("--most", type=int, default=max(SEEDS), help="the largest fleet in virtual time")
+    args = parser.parse_args()
+    sections = kept()
+    for part in args.part or SECTIONS:
+        limit = f" --most {args.most}" * (args.most < max(SEEDS))
+        command = f"python -m benchmarks.fleet_view{' --quick' * args.quick} --part {part}{limit}"
+        lines = [f"By `{command}` at `{current_revision()}`, on {described()}.", ""]
+        lines += SECTIONS[part][1](args.quick, args.most)
+        sections[part] = "\n".join(lines) + "\n"
+        print(sections[part], flush=True)
+        if args.write:
+            TARGET.write_text(page(sections))
     return 0
 
 
