--- a/benchmarks/capacity/__main__.py
+++ b/benchmarks/capacity/__main__.py
@@ -13,6 +13,7 @@
 # The module of each part; one is loaded when it is run.
 PARTS = {
     "fleet": "fleet_slopes",
+    "moments": "moment_slopes",
     "module": "module_slopes",
     "control": "control_slopes",
     "hollow": "hollow",
--- a/benchmarks/capacity/fleet_slopes.py
+++ b/benchmarks/capacity/fleet_slopes.py
@@ -49,7 +49,8 @@
     processor: float  # s
 
 
-def _spent(world: hosts.CountingWorld, seconds: float) -> Spent:
+def spent_in(world: hosts.CountingWorld, seconds: float) -> Spent:
+    """Let time pass; what all members spent in it."""
     before = sum(world.bytes.values()), world.datagram_bytes_in, world.call_bytes, world.datagrams_out
     processor = hosts.processor(world, seconds)
     out, received = sum(world.bytes.values()) - before[0], world.datagram_bytes_in - before[1]
@@ -57,9 +58,9 @@
     return Spent(out + received, calls, 2 * (world.datagrams_out - before[3]), processor)
 
 
-def _extra(world: hosts.CountingWorld, size: int, rest: Spent, part: float) -> tuple[float, float]:
+def extra_of(world: hosts.CountingWorld, size: int, rest: Spent, part: float) -> tuple[float, float]:
     """Bytes and ms of processor a member, beyond that part of the rest, of what has just been done."""
-    spent = _spent(world, EVENT)
+    spent = spent_in(world, EVENT)
     volume = spent.datagrams + spent.calls - part * (rest.datagrams + rest.calls)
     return max(0.0, volume) / size, max(0.0, spent.processor - part * rest.processor) / size * 1e3
 
@@ -70,13 +71,13 @@
     gc.disable()  # a collection would go through all members' objects, where a relay has its own only
     world = hosts.settled_fleet(size, seed)
     looked = REST_SMALL if size <= SMALL else REST
-    rest = _spent(world, looked)
+    rest = spent_in(world, looked)
     everybody = hosts.names(size)
     world.kill(everybody[size // 2])
-    death = _extra(world, size, rest, EVENT / looked)
+    death = extra_of(world, size, rest, EVENT / looked)
     world.kill(everybody[size // 3])
     world.start(everybody[size // 3], everybody[:5], everybody[:3])
-    restart = _extra(world, size, rest, EVENT / looked)
+    restart = extra_of(world, size, rest, EVENT / looked)
     each = size * looked
     return Cost(
         size, rest.datagrams / each, rest.calls / each, rest.packets / each, rest.processor / each * 1e6,
--- a/benchmarks/capacity/needs.py
+++ b/benchmarks/capacity/needs.py
@@ -22,10 +22,13 @@
 WEAKEST = (Kind.MISSING, Kind.FLOOR, Kind.RECKONED, Kind.EXTRAPOLATED, Kind.MEASURED)
 
 
+def exact(value: float) -> str:
+    """A set value as it is, thousands apart."""
+    return f"{value:,.10g}"
+
+
 def number(value: float) -> str:
-    """Three digits, thousands apart."""
-    if value == float("inf"):
-        return "never"
+    """A measured or reckoned value: three digits, thousands apart."""
     if abs(value) >= 1000:
         digits = len(str(int(abs(value))))
         return f"{round(value, 3 - digits):,.0f}"
--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -8,7 +8,7 @@
 
 from benchmarks.capacity import demand as d
 from benchmarks.capacity.fits import FitError, judge
-from benchmarks.capacity.needs import Kind, Measured, number
+from benchmarks.capacity.needs import Kind, Measured, exact, number
 from benchmarks.capacity.records import ROOT, Figure, Point, Series, Store
 from benchmarks.capacity.roles import Role, Row, all_roles
 
@@ -58,7 +58,7 @@
 
 def _point(one: Point) -> str:
     spread = "" if one.runs == 1 else f" ({number(one.low)} to {number(one.high)}, {one.runs} runs)"
-    return f"{number(one.size)}: {number(one.value)}{spread}"
+    return f"{exact(one.size)}: {number(one.value)}{spread}"
 
 
 def _slope_row(series: Series) -> list[str]:
@@ -115,7 +115,7 @@
     if need.kind is Kind.MISSING:
         return [row.what, "not measured", "", "", "", need.kind.value, need.chain, ""]
     spread = f"{number(need.low)} to {number(need.high)}" if need.low != need.high else ""
-    budget = "" if row.budget is None else number(row.budget)
+    budget = "" if row.budget is None else exact(row.budget)
     prefix = "at least " if need.kind is Kind.FLOOR else ""
     origin = "; ".join(f"`{one}`" for one in sorted(need.sources)) or "code, settings"
     return [
@@ -151,7 +151,8 @@
         said = (
             ""
             if worst is None
-            else f"{worst.what}: {number(worst.need.value)} {worst.unit} of {number(worst.budget or 0)}"
+            else f"{worst.what}: {number(worst.need.value)} {worst.unit}".strip()
+            + f" of {exact(worst.budget or 0.0)}"
         )
         exists = f"no: {role.impossible}" if role.impossible else "yes"
         rows.append(
--- a/benchmarks/capacity/roles.py
+++ b/benchmarks/capacity/roles.py
@@ -7,6 +7,7 @@
 
 from benchmarks.capacity import demand as d
 from benchmarks.capacity import limits
+from benchmarks.capacity.fleet_slopes import EVENT
 from benchmarks.capacity.needs import Kind, Measured, Need, reckoned
 
 SERVERS_SEEN = 1_500  # that one relay sees: an assumption; the row of the most it may see stands beside it
@@ -186,11 +187,7 @@
 def view(m: Measured) -> Role:
     """The flat view of the fleet."""
     n = float(d.RELAYS)
-    rest, restart, death = (
-        m.at("view_rest_bytes", n),
-        m.at("view_restart_bytes", n),
-        m.at("view_death_bytes", n),
-    )
+    rest, restart = m.at("view_rest_bytes", n), m.at("view_restart_bytes", n)
     day = rest.plus(restart.times(RESTART_RATE, f"{RESTART_RATE:.4f} restarts and failures a s"))
     ratio = m.figure("ratio_virtual_processor")
     rest_us = m.at("view_rest_processor", n)
@@ -221,25 +218,16 @@
         Row("members of one view", "", reckoned(n, "all relays"), limits.VIEW_MEMBERS),
     ]
     moments = (
-        ("a rack lost", d.RACK, 10.0), ("a zone lost", d.RELAYS_PER_ZONE, 10.0),
-        ("a region cut off", d.RELAYS_PER_REGION, 10.0),
+        ("a rack lost", "rack"), ("a zone lost", "zone"), ("a region cut off", "region_cut"),
+        ("that region heals", "region_healed"),
     )  # fmt: skip
-    for moment, lost, within in moments:
-        need = death.times(
-            lost / within, f"{lost:.0f} deaths in {within:.0f} s, as if each was a change alone: the most"
-        )
-        rows.append(Row(f"bytes, {moment}, for 10 s", "B/s", need.reckoned(), d.BYTES_A_SECOND))
-    healing = math.ceil(d.RELAYS_PER_REGION / limits.VIEW_JOINS)
-    joins = restart.times(
-        healing / 10.0, f"{healing} changes of {limits.VIEW_JOINS} joins in 10 s"
-    ).reckoned()
+    for moment, name in moments:
+        need = m.at(f"moment_{name}", n).times(1 / EVENT, f"a s, over the {EVENT:g} s that follow")
+        rows.append(Row(f"bytes beyond rest, {moment}", "B/s", need, d.BYTES_A_SECOND))
     release = restart.times(
         RELEASE_RATE, f"{RELEASE_RATE:.3f} restarts a s in a release of {d.RELEASE_HOURS:g} h"
     )
-    rows += [
-        Row("bytes, that region heals, for 10 s", "B/s", joins, d.BYTES_A_SECOND),
-        Row("bytes, a release, beyond rest", "B/s", release.reckoned(), d.BYTES_A_SECOND),
-    ]
+    rows.append(Row("bytes beyond rest, a release", "B/s", release.reckoned(), d.BYTES_A_SECOND))
     most = m.breaks_at("view_rest_bytes", d.BYTES_A_SECOND)
     return Role(
         "a relay's part in the fleet's view", True, f"{d.RELAYS:,} members, their health, the newest round of heartbeats",
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -7,9 +7,12 @@
 from random import Random
 
 import pytest
+from msgspec import structs
 
+from benchmarks.capacity import page
 from benchmarks.capacity.fits import GROWTH, FitError, Form, fit, judge
-from benchmarks.capacity.records import Point
+from benchmarks.capacity.needs import Kind, Measured
+from benchmarks.capacity.records import Point, Series, Store, load
 
 SIZES = 50, 100, 200, 400, 800
 
@@ -65,3 +68,32 @@
 def test_three_sizes_are_no_slope() -> None:
     with pytest.raises(FitError):
         judge(series(lambda n: n, SIZES[:3]))
+
+
+def test_the_page_says_what_the_stored_figures_say() -> None:
+    store, text = load(), page.PAGE.read_text()
+    assert store.series and store.figures
+    assert page.renewed(text, store) == text
+
+
+def test_a_changed_figure_changes_the_page() -> None:
+    store = load()
+    name = next(iter(store.series))
+    points = [structs.replace(p, value=p.value * 3, high=p.high * 3) for p in store.series[name].points]
+    store.series[name] = structs.replace(store.series[name], points=points)
+    assert page.renewed(page.PAGE.read_text(), store) != page.PAGE.read_text()
+
+
+def test_a_page_without_one_of_its_blocks_is_refused() -> None:
+    text = page.PAGE.read_text().replace("<!-- generated: summary -->\n", "")
+    with pytest.raises(page.PageError):
+        page.renewed(text, load())
+
+
+def test_a_slope_that_does_not_count_is_not_carried_to_full_size() -> None:
+    steep = Series(
+        "steep", "", "members", "B", [*series(lambda n: 10.0 + n, SIZES[:-1]), Point(800, 2e3, 2e3, 2e3)]
+    )
+    found = Measured(Store({"steep": steep})).at("steep", 5600)
+    assert found.kind is Kind.FLOOR and found.value == 2000.0
+    assert Measured(Store()).at("steep", 5600).kind is Kind.MISSING
