--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -173,7 +173,7 @@
 
 def ordered_control(store: Store) -> list[Role]:
     """Control roles, first those that can't exist at full size, then by need over budget."""
-    chosen = [role for role in all_roles(Measured(store)) if role.control]
+    chosen = [role for role in all_roles(Measured(store)) if role.control and not role.total]
     return sorted(chosen, key=lambda role: (not role.impossible, -_ratio(role)))
 
 
--- a/benchmarks/capacity/roles.py
+++ b/benchmarks/capacity/roles.py
@@ -50,6 +50,7 @@
     moments: str  # what a rack, a zone, a release, and a region cut off and healed do, where no row says it
     breaks: str
     impossible: str = ""  # why it can't exist at full size, whatever it costs
+    total: bool = False  # a sum of other roles
 
     @property
     def worst(self) -> Row | None:
@@ -104,12 +105,16 @@
 
 def deliveries(m: Measured) -> Role:
     """What goes to clients."""
-    rate, rows = d.DELIVERIES_PER_RELAY, list[Row]()
+    rate, rows, breaks = d.DELIVERIES_PER_RELAY, list[Row](), list[str]()
     for front in ("line", "nats"):
         name = f"{front}_delivering"
         one = m.at(name, max(series_largest(m, name), 1.0))
         need = one.times(rate / CORE_US, f"{rate:,.0f} deliveries a s of each relay, in cores")
         rows.append(Row(f"{front}: processor", "cores", need, 1.0))
+        if one.value:
+            breaks.append(
+                f"{front}: {CORE_US / one.value:,.0f} deliveries a s spend a core, nothing else done"
+            )
     spread = d.LISTENERS_MOST / d.RELAYS
     rows.append(
         Row("messages, in and out", "1/s", reckoned(2 * rate, f"2 x {rate:,.0f}, each comes in and goes out"))
@@ -122,7 +127,7 @@
         "a relay's deliveries", False, "bytes that wait for slow clients, bounded each",
         "one connection to a server for each client; a topic's message comes once for each listener: fan-out inside the "
         "relay none yet", tuple(rows), "all: what is delivered elsewhere meanwhile is not delivered here; what then comes at "
-        "once is not measured", "one core's worth of deliveries a second: 1,000,000 us over the us of one",
+        "once is not measured", "; ".join(breaks),
     )  # fmt: skip
 
 
@@ -384,9 +389,43 @@
     )  # fmt: skip
 
 
+def together(m: Measured) -> Role:
+    """All control of one relay, on an ordinary day."""
+    parts = {role.name: role for role in (listing(m), view(m), shared_map(m), console(m))}
+    chosen = {
+        ("bytes on an ordinary day", "B/s", float(d.BYTES_A_SECOND)): (
+            ("a relay's watch on the server list", "bytes on an ordinary day"),
+            ("a relay's part in the fleet's view", "bytes on an ordinary day"),
+            ("shared map and bans", "bytes on an ordinary day"),
+        ),
+        ("processor", "cores", d.CORE_PART): (
+            ("a relay's watch on the server list", "processor on an ordinary day"),
+            ("a relay's part in the fleet's view", "processor at rest"),
+            ("a relay's part in the fleet's view", "processor of restarts on an ordinary day"),
+            ("operators' calls", "processor, a monitor's calls"),
+        ),
+        ("memory", "MiB", d.MEMORY_BYTES / 2**20): (
+            ("a relay's part in the fleet's view", "memory"),
+            ("shared map and bans", "memory, the map full"),
+        ),
+    }
+    rows = []
+    for (what, unit, budget), wanted in chosen.items():
+        needs = [next(row.need for row in parts[name].rows if row.what == of) for name, of in wanted]
+        total = needs[0]
+        for one in needs[1:]:
+            total = total.plus(one)
+        summed = Need(total.value, total.low, total.high, total.kind, "sum of the rows above", total.sources)
+        rows.append(Row(what, unit, summed, budget))
+    return Role(
+        "all control of a relay together", True, "what the roles above hold", "as above; what does not exist yet is not in it",
+        tuple(rows), "those of the view", "as the view", total=True,
+    )  # fmt: skip
+
+
 ROLES = (
     connections, deliveries, decisions, listing, view, beyond_one_view, shared_map, owners, cold, console,
-    control_machine, discovery, topics,
+    control_machine, discovery, topics, together,
 )  # fmt: skip
 
 
