--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -10,7 +10,8 @@
 from benchmarks.capacity.fits import FitError, judge
 from benchmarks.capacity.needs import Kind, Measured, exact, number
 from benchmarks.capacity.records import ROOT, Figure, Point, Series, Store
-from benchmarks.capacity.roles import Role, Row, all_roles
+from benchmarks.capacity.role import Role, Row
+from benchmarks.capacity.roles import all_roles
 
 PAGE = ROOT / "docs" / "CAPACITY.md"
 BLOCK = re.compile(r"(<!-- generated: (\w+) -->\n).*?(<!-- end: \2 -->)", re.DOTALL)
