--- a/violetdoor/fleet/agreement.py
+++ b/violetdoor/fleet/agreement.py
@@ -13,13 +13,23 @@
 
 import math
 from dataclasses import dataclass, field
+from enum import Enum
 from random import Random
+from typing import NamedTuple
 
 from violetdoor.fleet import messages as m
 from violetdoor.fleet.view import Change, View
 
-AGAIN = 0.15  # s until those that did not answer are asked again
-GIVE_UP = 1.0  # s until a proposer begins anew with a higher ballot, and a random part of this
+RETRY_INTERVAL = 0.15  # s until those that did not answer are asked again
+BALLOT_TIMEOUT = 1.0  # s until a proposer begins anew with a higher ballot, and a random part of this
+
+
+class Phase(Enum):
+    """What a proposal waits for a majority of."""
+
+    POLL = "poll"  # members that hear none of the dead
+    PREPARE = "prepare"  # promises to take part in no lower ballot
+    ACCEPT = "accept"  # acceptances
 
 
 @dataclass(slots=True)
@@ -28,9 +38,9 @@
 
     change: Change
     began: float
-    asked: float
+    asked_at: float
     ballot: int = -1
-    phase: str = "poll"  # poll, prepare, accept
+    phase: Phase = Phase.POLL
     voted: set[int] = field(default_factory=set)  # places of members that agreed in this phase
     contradicted: set[int] = field(default_factory=set)  # places of dead that somebody knows to live
     highest: int = -1  # ballot of the accepted change that promises told of
@@ -38,6 +48,13 @@
     ended: tuple[int, ...] = ()  # places of those that have begun another life
 
 
+class Outgoing(NamedTuple):
+    """A message to the member at this place of the view."""
+
+    place: int
+    message: m.Message
+
+
 class Agreement:
     """One relay's part in deciding what follows `view`; `out` has what is to be sent, and to whom."""
 
@@ -49,21 +66,21 @@
         self.proposal: Proposal | None = None
         self.round = 0
         self.polls = 0
-        self.out: list[tuple[int, m.Message]] = []
+        self.out: list[Outgoing] = []
         self.contradicted: set[int] = set()  # of the last poll that failed
         self.yields_until = -math.inf  # another proposer is at work
 
     @classmethod
-    def of(cls, memory: m.Memory, me: str, random: Random) -> Agreement:
+    def restore(cls, state: m.DurableState, me: str, random: Random) -> Agreement:
         """Go on with all that was promised before this process."""
-        it = cls(memory.view, me, random)
-        it.promised, it.accepted_in, it.accepted = memory.promised, memory.accepted_in, memory.accepted
+        it = cls(state.view, me, random)
+        it.promised, it.accepted_in, it.accepted = state.promised, state.accepted_in, state.accepted
         return it
 
     @property
-    def memory(self) -> m.Memory:
+    def durable_state(self) -> m.DurableState:
         """What a restart must not forget."""
-        return m.Memory(self.view, self.promised, self.accepted_in, self.accepted)
+        return m.DurableState(self.view, self.promised, self.accepted_in, self.accepted)
 
     @property
     def frozen(self) -> bool:
@@ -73,7 +90,7 @@
     @property
     def due(self) -> float:
         p = self.proposal
-        return math.inf if p is None else min(p.asked + AGAIN, p.until)
+        return math.inf if p is None else min(p.asked_at + RETRY_INTERVAL, p.until)
 
     def propose(self, change: Change, now: float, ended: tuple[int, ...] = ()) -> None:
         """Try to bring a change through; what another has begun is brought through in its place.
@@ -83,7 +100,7 @@
         if self.proposal is not None or self.decided is not None or not change or now < self.yields_until:
             return
         self.polls += 1
-        self.proposal = Proposal(change, now, now, until=now + GIVE_UP, ended=ended)
+        self.proposal = Proposal(change, now, now, until=now + BALLOT_TIMEOUT, ended=ended)
         if change.dead and self.accepted is None:
             self.proposal.voted.add(self.me)
             self._step(now)
@@ -99,16 +116,16 @@
         """Say the phase's question to all that have not answered."""
         p = self.proposal
         assert p is not None
-        p.asked = now
+        p.asked_at = now
         base = self.view.id
         message: m.Message
-        if p.phase == "poll":
+        if p.phase is Phase.POLL:
             message = m.Poll(base, self.polls, p.change, p.ended)
-        elif p.phase == "prepare":
+        elif p.phase is Phase.PREPARE:
             message = m.Prepare(base, p.ballot)
         else:
             message = m.Accept(base, p.ballot, p.change)
-        self.out += [(n, message) for n in self._others() if n not in p.voted]
+        self.out += [Outgoing(n, message) for n in self._others() if n not in p.voted]
 
     def _step(self, now: float) -> None:
         """Go on to the next phase if this one has its majority, else ask."""
@@ -116,9 +133,9 @@
         assert p is not None
         if len(p.voted) < self.view.majority:
             self._ask(now)
-        elif p.phase == "poll":
+        elif p.phase is Phase.POLL:
             self._prepare(now)
-        elif p.phase == "prepare":
+        elif p.phase is Phase.PREPARE:
             self._accept(now)
         else:
             self._decide(p.change)
@@ -129,12 +146,12 @@
         size = len(self.view.members)
         self.round = max(self.round, self.promised // size + 1) if self.promised >= 0 else self.round
         p.ballot, p.voted = self.round * size + self.me, set()
-        p.until = now + GIVE_UP * self.random.uniform(1.0, 2.0)
+        p.until = now + BALLOT_TIMEOUT * self.random.uniform(1.0, 2.0)
         self.round += 1
         if p.ballot == 0:  # no lower ballot can be
             self._accept(now)
             return
-        p.phase, self.promised = "prepare", p.ballot
+        p.phase, self.promised = Phase.PREPARE, p.ballot
         if self.accepted is not None:
             p.highest, p.change = self.accepted_in, self.accepted
         p.voted.add(self.me)
@@ -143,15 +160,15 @@
     def _accept(self, now: float) -> None:
         p = self.proposal
         assert p is not None
-        p.phase, p.voted = "accept", {self.me}
+        p.phase, p.voted = Phase.ACCEPT, {self.me}
         self.promised = self.accepted_in = p.ballot
         self.accepted = p.change
         self._step(now)
 
     def _decide(self, change: Change) -> None:
         self.decided, self.proposal = change, None
-        told = m.Decided(self.view.id, change)
-        self.out += [(n, told) for n in range(len(self.view.members)) if n != self.me]
+        decided = m.Decided(self.view.id, change)
+        self.out += [Outgoing(n, decided) for n in range(len(self.view.members)) if n != self.me]
 
     def wake(self, now: float) -> None:
         """Ask again, or give up a ballot that does not come through."""
@@ -160,7 +177,7 @@
         if now >= p.until:
             self.proposal = None
             self.contradicted = p.contradicted
-        elif now >= p.asked + AGAIN:
+        elif now >= p.asked_at + RETRY_INTERVAL:
             self._ask(now)
 
     def receive(self, place: int, message: m.Message, now: float, lives: set[int]) -> None:
@@ -169,9 +186,9 @@
         match message:
             case m.Poll(number=number, change=change, ended=ended):
                 alive = lives & set(change.dead) - set(ended)
-                self.out.append((place, m.Vote(base, number, tuple(sorted(alive)))))
+                self.out.append(Outgoing(place, m.Vote(base, number, tuple(sorted(alive)))))
             case m.Vote(number=number, alive=alive):
-                if p is not None and p.phase == "poll" and number == self.polls:
+                if p is not None and p.phase is Phase.POLL and number == self.polls:
                     p.contradicted |= set(alive)
                     if not alive:
                         p.voted.add(place)
@@ -179,43 +196,47 @@
                             self._step(now)
             case m.Prepare(ballot=ballot):
                 if ballot >= self.promised:
-                    self._yield(ballot, now)
+                    self._yield_to(ballot, now)
                     self.promised = ballot
-                    self.out.append((place, m.Promise(base, ballot, self.accepted_in, self.accepted)))
+                    self.out.append(Outgoing(place, m.Promise(base, ballot, self.accepted_in, self.accepted)))
                 else:
-                    self.out.append((place, m.Refused(base, ballot, self.promised)))
-            case m.Promise(ballot=ballot, accepted=accepted, change=told):
-                if p is not None and p.phase == "prepare" and ballot == p.ballot:
-                    if told is not None and accepted > p.highest:
-                        p.highest, p.change = accepted, told
+                    self.out.append(Outgoing(place, m.Refused(base, ballot, self.promised)))
+            case m.Promise(ballot=ballot, accepted=accepted, change=accepted_change):
+                if p is not None and p.phase is Phase.PREPARE and ballot == p.ballot:
+                    if accepted_change is not None and accepted > p.highest:
+                        p.highest, p.change = accepted, accepted_change
                     p.voted.add(place)
                     if len(p.voted) >= self.view.majority:
                         self._step(now)
             case m.Accept(ballot=ballot, change=change):
                 if ballot >= self.promised:
-                    self._yield(ballot, now)
+                    self._yield_to(ballot, now)
                     self.promised = self.accepted_in = ballot
                     self.accepted = change
-                    self.out.append((place, m.Accepted(base, ballot)))
+                    self.out.append(Outgoing(place, m.Accepted(base, ballot)))
                 else:
-                    self.out.append((place, m.Refused(base, ballot, self.promised)))
+                    self.out.append(Outgoing(place, m.Refused(base, ballot, self.promised)))
             case m.Accepted(ballot=ballot):
-                if p is not None and p.phase == "accept" and ballot == p.ballot:
+                if p is not None and p.phase is Phase.ACCEPT and ballot == p.ballot:
                     p.voted.add(place)
                     if len(p.voted) >= self.view.majority:
                         self._step(now)
             case m.Refused(ballot=ballot, promised=promised):
                 self.round = max(self.round, promised // len(self.view.members) + 1)
-                if p is not None and p.phase != "poll" and ballot == p.ballot:
+                if p is not None and p.phase is not Phase.POLL and ballot == p.ballot:
                     self.proposal = None
             case m.Decided(change=change):
                 self.decided, self.proposal = change, None
 
-    def _yield(self, ballot: int, now: float) -> None:
+    def _yield_to(self, ballot: int, now: float) -> None:
         """Another proposer has a higher ballot: it is left alone for as long as a ballot may take.
 
         Guards against two proposers that take the ballot from each other for as long as both want something.
         """
-        self.yields_until = now + GIVE_UP * self.random.uniform(1.0, 1.5)
-        if self.proposal is not None and self.proposal.phase != "poll" and ballot > self.proposal.ballot:
+        self.yields_until = now + BALLOT_TIMEOUT * self.random.uniform(1.0, 1.5)
+        if (
+            self.proposal is not None
+            and self.proposal.phase is not Phase.POLL
+            and ballot > self.proposal.ballot
+        ):
             self.proposal = None
--- a/violetdoor/fleet/view.py
+++ b/violetdoor/fleet/view.py
@@ -10,9 +10,11 @@
 import xxhash
 from msgspec import Struct
 
-MEMBERS_MOST = 1024  # of one view; a bitmap of it has 128 bytes, so that two fit into every packet
-JOINS_MOST = 48  # taken in by one change, if their names leave room
-LINE_RANDOM_BITS = 16
+MAX_MEMBERS = 1024  # of one view; a bitmap of it has 128 bytes, so that two fit into every packet
+MAX_JOINS = 48  # taken in by one change, if their names leave room
+EPOCH_RANDOM_BITS = 16
+
+Address = tuple[str, int]  # host and port, as the socket API has them
 
 
 class Peer(Struct, frozen=True, array_like=True):
@@ -31,6 +33,11 @@
     process: int = 0
     since: int = 0
 
+    @property
+    def address(self) -> Address:
+        """Where other relays reach it."""
+        return self.host, self.port
+
 
 class Change(Struct, frozen=True, array_like=True):
     """From one view to the next: members by their place in the view before, and who enters."""
@@ -50,23 +57,23 @@
     founder's Unix time in ms with random bits behind, so that later lines are higher where clocks are sound.
     """
 
-    line: int
+    epoch: int
     seq: int
 
     def __str__(self) -> str:
-        return f"{self.line:x}/{self.seq}"
+        return f"{self.epoch:x}/{self.seq}"
 
 
 class View(Struct, frozen=True, array_like=True, dict=True):
     """Who is in the fleet. Members are sorted by name; their place is what bitmaps and ballots go by."""
 
-    line: int
+    epoch: int
     seq: int
     members: tuple[Peer, ...]
 
     @property
     def id(self) -> ViewId:
-        return ViewId(self.line, self.seq)
+        return ViewId(self.epoch, self.seq)
 
     @cached_property
     def digest(self) -> str:
@@ -98,7 +105,7 @@
         kept = {p.name: p for n, p in enumerate(self.members) if n not in gone}
         seq = self.seq + 1
         kept |= {p.name: msgspec.structs.replace(p, since=seq) for p in change.joins}
-        return View(self.line, seq, in_order(kept.values()))
+        return View(self.epoch, seq, in_order(kept.values()))
 
     def owner(self, key: str) -> str:
         """The member that a key belongs to, by rendezvous hashing: few keys move when members change."""
