--- a/benchmarks/capacity/control_roles.py
+++ b/benchmarks/capacity/control_roles.py
@@ -152,7 +152,7 @@
     """Shares of cold servers."""
     wrong = d.RELAYS / min(d.RELAYS, limits.VIEW_MEMBERS)
     return Role(
-        "cold-server shares", True, "one number: how many relays share the servers", "`Node.sharers`, from the view",
+        "cold-server shares", True, "one number: how many relays share the servers", "`Node.active_relays`, from the view",
         (
             Row("bytes beyond the view's", "B/s", reckoned(0.0, "nothing of its own is sent"), d.BYTES_A_SECOND),
             Row("a cold server's load where each relay counts one full view only, as a part of what it can take", "",
--- a/benchmarks/capacity/hollow.py
+++ b/benchmarks/capacity/hollow.py
@@ -88,7 +88,7 @@
     before = rss_kib()
     fleets = [Fleet(_plan(n, count), (_host(n), PORT), KEY) for n in range(count)]
     for fleet in fleets:
-        fleet.begin()
+        fleet.start()
 
     async def settled() -> bool:
         return all(f.view is not None and len(f.view.members) == count and f.may_act() for f in fleets)
--- a/benchmarks/capacity/hosts.py
+++ b/benchmarks/capacity/hosts.py
@@ -89,8 +89,10 @@
         host.life += 1
         plan = Plan(peer.name, *host.address, peer.zone, seeds, founders)
         node = Node(plan, Random(world.random.getrandbits(64)), world.clock(host), lambda: UNIX)
-        handed = m.handeds.decode(m.encode(_handed(peer, view, world.clock(host))))  # an own copy of the view
-        node.take(handed, world.clock(host))
+        handover = m.handover_states.decode(
+            m.encode(_handover(peer, view, world.clock(host)))
+        )  # an own copy of the view
+        node.import_state(handover, world.clock(host))
         host.node = node
         world._carry_out(host)
         world._push(world.now + world.random.random() * 0.25, world._wake, host, host.life)
@@ -111,12 +113,17 @@
     )
 
 
-def _handed(peer: Peer, view: View, now: float) -> m.Handed:
+def _handover(peer: Peer, view: View, now: float) -> m.HandoverState:
     never = float("-inf")
-    lease = m.HeldLease(never, never, False, 0, -1, b"\0", b"\0", (), now)
-    return m.Handed(
-        peer.process, peer, "member", now, m.Memory(view), None, view.line, view.seq, lease, never, (),
-        False, 0, 0, (), m.Stamp(0, 0, ""), (), (), (), (), (), (),
+    lease = m.LeaseState(
+        expires_at=never, not_before=never, frozen=False, number=0, starter=-1, joined=b"\0", before=b"\0",
+        joins=(), round_seen_at=now,
+    )  # fmt: skip
+    return m.HandoverState(
+        process=peer.process, me=peer, state="member", started=now, durable_state=m.DurableState(view),
+        latest_view=None, last_epoch=view.epoch, last_seq=view.seq, lease=lease, last_heartbeat=never,
+        prior_views=(), live=False, incarnation=0, packet_count=0, entries=(), clock=m.Stamp(0, 0, ""),
+        replay_windows=(), readmissions=(), left_instances=(), reported_views=(), ended_members=(), leaving=(),
     )  # fmt: skip
 
 
--- a/benchmarks/capacity/limits.py
+++ b/benchmarks/capacity/limits.py
@@ -4,19 +4,19 @@
 
 from lynxdeck.policy import CALL
 from violetdoor.console.server import CALLERS_MOST
-from violetdoor.fleet.messages import DATAGRAM_MOST, FRAME_MOST
-from violetdoor.fleet.node import SYNC_EVERY
-from violetdoor.fleet.shared import ENTRIES_MOST, TOMBSTONE_MS
-from violetdoor.fleet.view import JOINS_MOST, MEMBERS_MOST
+from violetdoor.fleet.messages import MAX_DATAGRAM, MAX_FRAME
+from violetdoor.fleet.shared import MAX_ENTRIES, TOMBSTONE_MS
+from violetdoor.fleet.sync import INTERVAL
+from violetdoor.fleet.view import MAX_JOINS, MAX_MEMBERS
 from violetdoor.net.discovery import BODY_MOST, HOLD_MS
 from violetdoor.settings import Nats
 
-VIEW_MEMBERS = MEMBERS_MOST
-VIEW_JOINS = JOINS_MOST  # by one change
-VIEW_FRAME = FRAME_MOST  # bytes
-VIEW_DATAGRAM = DATAGRAM_MOST  # bytes
-VIEW_SYNC_S = SYNC_EVERY
-MAP_ENTRIES = ENTRIES_MOST
+VIEW_MEMBERS = MAX_MEMBERS
+VIEW_JOINS = MAX_JOINS  # by one change
+VIEW_FRAME = MAX_FRAME  # bytes
+VIEW_DATAGRAM = MAX_DATAGRAM  # bytes
+VIEW_SYNC_S = INTERVAL
+MAP_ENTRIES = MAX_ENTRIES
 MAP_TOMBSTONE_S = TOMBSTONE_MS / 1000
 LIST_BODY = BODY_MOST  # bytes
 LIST_HOLD_S = HOLD_MS / 1000
