--- a/lynxdeck/policy.py
+++ b/lynxdeck/policy.py
@@ -331,12 +331,12 @@
             server.load, server.report_at = OVERLOAD, self.now
 
     def may_repeat(self, request: Request, server: Server) -> bool:
-        """Whether the server drops the repeat of a keyed request that may have run."""
+        """Whether the server drops the repeat of a keyed request that may have run, and takes it now."""
         first, cls = request.ran[0] if request.ran else server, request.cls
         known = cls.effect is i.Effect.KEYED and self.now + 2 * PROBE_WAIT <= request.begin_by
         mine, its = server.entry, first.entry
         same = {i.Scope.ALL: True, i.Scope.ZONE: mine.zone == its.zone, i.Scope.CELL: mine.cell == its.cell}
-        return known and server.ready and same[cls.scope]
+        return known and server.ready and same[cls.scope] and self.has_turn(server, request.load)
 
     def ramp(self, server: Server) -> float:
         """The least part of its capacity that a server has so long after its start."""
