Discovery's call keeps a descriptor of its own; the system's limit counts, too

Cause: nothing was kept for the call to discovery: where idle clients held all descriptors, its connect failed for as long as they stayed. The reserve of 64 was taken off the settings' number, also where the system allows less.

Checked with the real program under a lowered limit, filled by idle clients while discovery refuses: without the change the list never came back.

Change: the watch holds one descriptor and frees it in the step in which its connection is opened; the clients' room goes by the lower of both limits.

Result: two tests in test_descriptors; both fail without the change.

--- /dev/null
+++ b/tests/test_descriptors.py
@@ -0,0 +1,71 @@
+"""A relay short of descriptors: idle clients may fill them, and the list still comes."""
+
+from __future__ import annotations
+
+import asyncio
+import resource
+from pathlib import Path
+
+from standins import Discovery, GateServer, run, until
+from test_line import front, line, opened, settled
+
+from violetdoor.net import discovery as budget
+from violetdoor.net.acceptor import RESERVED
+
+
+def test_the_list_comes_back_though_idle_clients_hold_all_descriptors(tmp_path: Path) -> None:
+    """Discovery refuses while they come; its return is known within the budget of a failed call."""
+
+    async def test() -> None:
+        async with GateServer() as server, Discovery(server) as discovery, front(tmp_path, discovery) as it:
+            await until(lambda: discovery.calls >= 2)  # the list, then the watch
+            discovery.broken = True
+            discovery.tell(server, "up")  # so that the watch ends, and what follows is refused
+            calls = discovery.calls
+            await until(lambda: discovery.calls > calls)
+            pid, name = it.process.pid, resource.RLIMIT_NOFILE
+            before = resource.prlimit(pid, name)
+            held = len(list(Path(f"/proc/{pid}/fd").iterdir()))
+            resource.prlimit(pid, name, (held + 5, before[1]))
+            idle = [await it.open() for _ in range(30)]
+            for _, writer in idle:
+                writer.write(b"PING\r\n")
+            await until(lambda: it.logged("accept failed"))
+            failed = discovery.calls
+            await until(lambda: discovery.calls > failed)  # refused, though no other descriptor is free
+            changes = await settled(it, "discovery_changes")
+            discovery.broken = False
+            discovery.tell(server, "draining")
+            returned = asyncio.get_running_loop().time()
+            while await settled(it, "discovery_changes") == changes:
+                await asyncio.sleep(0.01)
+            assert asyncio.get_running_loop().time() - returned < budget.TOLD_WITHIN
+            assert it.logged("accept failed")
+            resource.prlimit(pid, name, before)
+            for _, writer in idle:
+                writer.close()
+
+    run(test)
+
+
+def test_the_systems_limit_bounds_the_clients_where_the_settings_allow_more(tmp_path: Path) -> None:
+    async def test() -> None:
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        clients = 12  # descriptors
+        try:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (RESERVED + clients, hard))  # the program inherits it
+            async with (
+                GateServer() as server, Discovery(server) as discovery,
+                front(tmp_path, discovery, sockets=4096) as it,
+            ):  # fmt: skip
+                resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+                silent = [await it.open() for _ in range(100)]
+                reader, _ = await opened(it)
+                assert await line(reader) == b"UP r1\r\n"
+                assert not await settled(it, "accept_failed")
+                for _, writer in silent:
+                    writer.close()
+        finally:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+
+    run(test)
--- a/violetdoor/net/acceptor.py
+++ b/violetdoor/net/acceptor.py
@@ -5,7 +5,9 @@
 import asyncio
 import contextlib
 import logging
+import resource
 import socket
+import sys
 import time
 from collections import deque
 from collections.abc import Awaitable, Callable
@@ -23,6 +25,12 @@
 RESERVED = 64  # descriptors kept for discovery, probes, the log, the console and answers over the limit
 
 
+def descriptor_limit() -> int:
+    """How many descriptors the system lets this process have; the settings may allow more."""
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return sys.maxsize if soft == resource.RLIM_INFINITY else soft
+
+
 async def linger(sock: socket.socket) -> None:
     """End the sending side and wait a little for the client's end.
 
@@ -49,7 +57,7 @@
         sockets: int, over_limit: bytes, sock: socket.socket | None = None,
     ) -> None:  # fmt: skip
         self.serve, self.counts, self.over_limit = serve, counts, over_limit
-        self.room = max(2, sockets - RESERVED)
+        self.room = max(2, min(sockets, descriptor_limit()) - RESERVED)
         self.sock = sock or listen(address, shared=True)  # one that a predecessor handed over
         self.address: Address = self.sock.getsockname()[:2]
         self.tasks: set[asyncio.Task[None]] = set()
--- a/violetdoor/net/discovery.py
+++ b/violetdoor/net/discovery.py
@@ -15,7 +15,7 @@
 
 from lynxdeck import interface as i
 from violetdoor.net.counters import Counters
-from violetdoor.net.sockets import Address, connect, end, parse_address, send_parts
+from violetdoor.net.sockets import Address, SpareDescriptor, connect, end, parse_address, send_parts
 
 log = logging.getLogger("violetdoor.discovery")
 
@@ -200,6 +200,7 @@
     ) -> None:  # fmt: skip
         self.address, self.directory, self.deliver, self.counts = address, directory, deliver, counts
         self.pushed = pushed
+        self._spare = SpareDescriptor()  # guards against clients that hold all others while discovery is down
         self._whole = False  # the next call is for the whole list, though a version is known
         self._task: asyncio.Task[None] | None = None
 
@@ -232,6 +233,7 @@
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
+        self._spare.close()
 
     async def _run(self) -> None:
         loop = asyncio.get_running_loop()
@@ -267,7 +269,9 @@
         try:
             # A call for the whole list has no wait in it: a new address that says nothing is found out soon.
             within = HOLD_MS / 1000 + WATCH_GRACE if query else LIST_TIMEOUT
-            data = orjson.loads(await call(self.address, query, within))
+            with self._spare.lent():
+                answer = await call(self.address, query, within)
+            data = orjson.loads(answer)
             servers, self._whole = self.directory.read(data, counts=self.counts), False
         except CALL_FAILED as err:
             self.counts["discovery_failed"] += 1
--- a/violetdoor/net/sockets.py
+++ b/violetdoor/net/sockets.py
@@ -4,10 +4,11 @@
 
 import asyncio
 import contextlib
+import os
 import select
 import socket
 import struct
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 
 LINE_MOST = 4096  # bytes of one line, its CRLF included
 BACKLOG = 1024
@@ -62,6 +63,34 @@
     return any(told & ENDED for _, told in look.poll(0))
 
 
+class SpareDescriptor:
+    """One descriptor that is kept back for a connection which has to come up when all others are taken."""
+
+    def __init__(self) -> None:
+        self._held: int | None = None
+        self._take()
+
+    def _take(self) -> None:
+        with contextlib.suppress(OSError):  # none is free: the next use tries again
+            self._held = os.open(os.devnull, os.O_RDONLY | os.O_CLOEXEC)
+
+    @contextlib.contextmanager
+    def lent(self) -> Iterator[None]:
+        """Free it; whoever opens a descriptor in the same step gets its place, and closes it in here."""
+        self.close()
+        try:
+            yield
+        finally:
+            if self._held is None:
+                self._take()
+
+    def close(self) -> None:
+        """Give it back to the system."""
+        if self._held is not None:
+            os.close(self._held)
+            self._held = None
+
+
 async def connect(address: Address, timeout: float) -> socket.socket:
     """Connect within the timeout or raise OSError (TimeoutError is one)."""
     family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
