Servers that left the list long ago are forgotten

Cause: Directory.addresses and Controller.named kept a line for each server that was ever listed, also over upgrades of the process.

--- a/violetdoor/core/controller.py
+++ b/violetdoor/core/controller.py
@@ -19,6 +19,7 @@
 from lynxdeck import interface as i
 from lynxdeck.policy import Balancer
 from violetdoor.core.delays import WINDOW, Delays, carrier
+from violetdoor.core.former import Former
 from violetdoor.core.spread import due
 
 log = logging.getLogger("violetdoor.core")
@@ -167,7 +168,8 @@
         self.tickets: dict[int, Ticket] = {}
         self.standing: dict[str, dict[int, Ticket]] = {}  # by server
         self.entries: dict[str, i.ServerEntry] = {}  # as the list has them; `_effective` overrides
-        self.named: set[str] = set()  # all servers that a list has ever named
+        self.named: set[str] = set()  # the servers that a list names or has named, the latest of these
+        self._former = Former()
         self.bans: dict[str, float] = {}  # servers that are left out by hand, since when
         self.draining: dict[str, float] = {}  # servers that said so themselves: the start of that process
         self.returned: dict[str, tuple[float, float]] = {}  # those put back: banned at, put back at
@@ -214,6 +216,7 @@
 
     def listed(self, servers: i.ServerList) -> None:
         """The list, a change of it, or a call for it that failed."""
+        before = set(self.entries)
         if servers.kind.whole:
             self.entries.clear()
         for entry in servers.entries:
@@ -222,8 +225,17 @@
             else:
                 self.entries[entry.server] = entry
                 self.named.add(entry.server)
+                self._former.came(entry.server)
+        for name in self._former.left(sorted(before - self.entries.keys())):
+            self._forget(name)
         self.handle(replace(servers, entries=tuple(map(self._effective, servers.entries))))
 
+    def _forget(self, name: str) -> None:
+        """Nothing more is kept of a server that left the list long ago, unless it is left out by hand."""
+        if name not in self.bans:
+            self.named.discard(name)
+            self.returned.pop(name, None)
+
     def _effective(self, entry: i.ServerEntry) -> i.ServerEntry:
         """What the module is told of a server: by hand it can be left out, and come back cold; it may drain.
 
@@ -330,6 +342,8 @@
         """Begin from what the process before this one knew; its bans are in force already."""
         self.entries = dict(entries)
         self.named.update(entries)
+        for name in self._former.left(sorted(self.named - entries.keys())):
+            self._forget(name)
         listed = i.ServerList(i.ListKind.REMEMBERED, tuple(map(self._effective, entries.values())))
         self.handle(replace(known, listed=listed))
 
--- a/violetdoor/net/discovery.py
+++ b/violetdoor/net/discovery.py
@@ -6,7 +6,7 @@
 import logging
 import math
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 from typing import Any
 
@@ -14,6 +14,7 @@
 import orjson
 
 from lynxdeck import interface as i
+from violetdoor.core.former import Former
 from violetdoor.net.counters import Counters
 from violetdoor.net.sockets import Address, SpareDescriptor, connect, end, parse_address, send_parts
 
@@ -68,17 +69,22 @@
 
 
 class Directory:
-    """The addresses of the servers that the list has named."""
+    """The addresses of the servers that the list names, and of the latest that it has named."""
 
     def __init__(self) -> None:
         self.addresses: dict[str, Address] = {}
+        self.listed: set[str] = set()
+        self._former = Former()
         self.version: int | None = None  # of the list as it is known; 0 is a version too
         self.newest = 0  # the highest version known; an agent that starts anew can be behind it
         self.leaving: dict[str, i.ServerEntry] = {}  # the servers last told as draining or gone
 
-    def go_on(self, version: int | None, entries: Iterable[i.ServerEntry]) -> None:
+    def go_on(self, version: int | None, entries: Collection[i.ServerEntry]) -> None:
         """Begin from the list that the process before this one had."""
         self.version, self.newest = version, version or 0
+        self.listed = {e.server for e in entries}
+        for name in self._former.left(sorted(self.addresses.keys() - self.listed)):
+            self.addresses.pop(name, None)
         self.leaving = {e.server: e for e in entries if e.state is not i.ServerState.READY}
 
     def read(
@@ -107,8 +113,20 @@
                 entry = i.ServerEntry(line["id"], state=i.ServerState.DRAINING)
             entries.append(self._known(entry, older))
         self.version = version
+        self._keep(kind, entries)
         return i.ServerList(kind, tuple(entries), version or 0)
 
+    def _keep(self, kind: i.ListKind, entries: Collection[i.ServerEntry]) -> None:
+        """Know which servers are listed; of those that were, the addresses of the latest stay."""
+        gone = {e.server for e in entries if e.state is i.ServerState.GONE}
+        present = {e.server for e in entries} - gone
+        before, kept = self.listed, set() if kind.whole else self.listed
+        self.listed = (kept - gone) | present
+        for name in present:
+            self._former.came(name)
+        for name in self._former.left(sorted((before | gone) - self.listed)):
+            self.addresses.pop(name, None)
+
     def _entry(self, line: dict[str, Any]) -> i.ServerEntry:
         entry = i.ServerEntry(
             str(line["id"]), line.get("zone") or "", line.get("kind") or "", line.get("cell") or 0,
