--- /dev/null
+++ b/violetdoor/control/connection.py
@@ -0,0 +1,443 @@
+"""Sealed frames on one TCP connection of the control plane.
+
+Each side begins with 16 random bytes, its nonce. After them come frames: a length of 4 bytes, a msgpack
+message, and a seal under the shared key over both nonces, the direction and the frame's place in it. So no
+frame can be left out, repeated, reordered or played on another connection without the seal failing, and a
+frame that fails ends its connection and nothing else. Frames are authenticated, not encrypted.
+
+`FrameCodec` has no input or output. `Connection` puts it on an asyncio transport: a control machine has up to a
+thousand of these, so there is no task per connection, and what is sent in one round of the loop is one write.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import socket
+from collections import Counter
+from collections.abc import Callable, Iterator
+from enum import Enum
+from typing import Any, Generic, Protocol, TypeVar
+
+import msgspec
+
+from violetdoor.control.messages import FRAME_MOST, encode
+from violetdoor.fleet.seal import SEAL, Seal
+from violetdoor.net.sockets import Address, connect
+
+log = logging.getLogger("violetdoor.control")
+
+NONCE = 16  # bytes: two connections never share one, whoever chooses the other side's
+LENGTH = 4  # bytes of a frame's length before it
+COUNT = 8  # bytes of a frame's place among those of its direction, under the seal
+
+QUEUE_MOST = (
+    1 << 20
+)  # bytes that wait for one peer: a roster of a region and the whole shared map, each twice
+CONNECT_WITHIN = (
+    1.0  # s for a TCP connection: within a relay's 2 s of silence before it tries the next machine
+)
+HANDSHAKE_WITHIN = 1.0  # s from the connection to the first sealed frame of the peer
+WRITE_WITHIN = 3.0  # s in which a peer takes not one byte of what waits for it
+LINGER = 0.5  # s that a peer has to read the last frame before its connection is reset
+
+Message = TypeVar("Message")
+
+
+class Closed(Enum):
+    """Why a connection ended; the value is the name of its counter."""
+
+    PEER = "closed_by_peer"
+    HERE = "closed_here"
+    BROKEN = "connection_broken"  # reset, or the peer's host is gone
+    SEAL = "dropped_seal"  # another key, spoilt, replayed, reordered or from another connection
+    LENGTH = "dropped_length"  # shorter or longer than any frame
+    FORM = "dropped_form"  # a sound seal around what is no message
+    HANDSHAKE = "dropped_handshake"  # no sealed frame in time
+    STALLED = "dropped_stalled"  # the peer takes nothing
+    QUEUE = "dropped_queue"  # more waits for the peer than may
+    TOO_LONG = "dropped_too_long"  # this side had a message that no frame can hold
+    CROWDED = "dropped_crowded"  # a newer connection took its place before its first sealed frame
+    FAULT = "faults"  # a fault of this program while it handled a message
+
+
+class FrameError(Exception):
+    """What came is no frame of this connection; `why` is `SEAL` or `LENGTH`."""
+
+    def __init__(self, why: Closed) -> None:
+        super().__init__(why.value)
+        self.why = why
+
+
+class Side(Enum):
+    """Who opened the connection; the value stands under the seals of the frames that this side sends."""
+
+    CLIENT = b"control client"
+    SERVER = b"control server"
+
+    @property
+    def other(self) -> Side:
+        return Side.SERVER if self is Side.CLIENT else Side.CLIENT
+
+
+class FrameCodec:
+    """Frames of one connection, both ways, without input or output."""
+
+    def __init__(self, seal: Seal, side: Side) -> None:
+        self.nonce = os.urandom(NONCE)  # to be sent before any frame
+        self.ready = False  # the peer's nonce has come: frames can be made
+        self._seal, self._side = seal, side
+        self._buffer = bytearray()
+        self._outgoing = self._incoming = b""  # the context of each direction's seals
+        self._sent = self._received = 0
+
+    def frame(self, body: bytes) -> bytes:
+        """The next frame to send; ValueError where the body is too long for one."""
+        assert self.ready, "no frame can be sealed before the peer's nonce has come"
+        if len(body) + SEAL > FRAME_MOST:
+            raise ValueError(f"a message of {len(body)} bytes, expected {FRAME_MOST - SEAL} at most")
+        sealed = self._seal.put(body, self._outgoing + self._sent.to_bytes(COUNT, "big"))
+        self._sent += 1
+        return len(sealed).to_bytes(LENGTH, "big") + sealed
+
+    def feed(self, data: bytes) -> Iterator[bytes]:
+        """Take in bytes and give the bodies of the frames that they complete; FrameError ends it."""
+        self._buffer += data
+        if not self.ready and not self._take_nonce():
+            return
+        start = 0
+        try:
+            while (end := self._frame_end(start)) is not None:
+                body = self._open(start + LENGTH, end)
+                start = end
+                yield body
+        finally:
+            del self._buffer[:start]
+
+    def _take_nonce(self) -> bool:
+        if len(self._buffer) < NONCE:
+            return False
+        theirs = bytes(self._buffer[:NONCE])
+        del self._buffer[:NONCE]
+        both = self.nonce + theirs if self._side is Side.CLIENT else theirs + self.nonce
+        self._outgoing = self._side.value + both
+        self._incoming = self._side.other.value + both
+        self.ready = True
+        return True
+
+    def _frame_end(self, start: int) -> int | None:
+        """Where the frame that begins here ends; None where it is not whole yet."""
+        body = start + LENGTH
+        if len(self._buffer) < body:
+            return None
+        length = int.from_bytes(self._buffer[start:body], "big")
+        if not SEAL < length <= FRAME_MOST:
+            raise FrameError(Closed.LENGTH)
+        return body + length if len(self._buffer) >= body + length else None
+
+    def _open(self, start: int, end: int) -> bytes:
+        with memoryview(self._buffer) as view:
+            sealed = bytes(view[start:end])
+        body = self._seal.off(sealed, self._incoming + self._received.to_bytes(COUNT, "big"))
+        if body is None:
+            raise FrameError(Closed.SEAL)
+        self._received += 1
+        return body
+
+
+class Handler(Protocol[Message]):
+    """Who uses a connection. No method is called after `closed`, and `closed` is called once."""
+
+    def opened(self, connection: Connection[Message]) -> None:
+        """A client's handshake is over; at a server the client's first sealed frame has come."""
+
+    def received(self, connection: Connection[Message], message: Message) -> None:
+        """A message came."""
+
+    def backlog(self, connection: Connection[Message], queued: int) -> None:
+        """The bytes that wait for the peer have changed."""
+
+    def closed(self, connection: Connection[Message], why: Closed) -> None:
+        """The connection has ended. It was `opened` only if `connection.established`."""
+
+
+class Connection(asyncio.Protocol, Generic[Message]):
+    """One TCP connection with sealed frames both ways."""
+
+    def __init__(
+        self, seal: Seal, side: Side, decoder: msgspec.msgpack.Decoder[Message],
+        handler: Handler[Message], counts: Counter[str],
+    ) -> None:  # fmt: skip
+        self.handler, self.counts = handler, counts
+        self.side, self.decoder = side, decoder
+        self.codec = FrameCodec(seal, side)
+        self.loop = asyncio.get_running_loop()
+        self.established = False  # `opened` was called
+        self.source = ""  # the peer's host and port
+        self._transport: asyncio.Transport | None = None
+        self._pending: list[bytes] = []  # frames of this round of the loop
+        self._pending_bytes = 0
+        self._flush_planned = False
+        self._deadline: asyncio.TimerHandle | None = None  # of the handshake, a stalled write or the end
+        self._stalled_at = 0  # bytes that waited when the peer was last seen to take some
+        self._why: Closed | None = None  # set once it is ending
+        self._told = False
+
+    # What its user does.
+
+    @property
+    def queued(self) -> int:
+        """Bytes that wait for the peer."""
+        waiting = 0 if self._transport is None else self._transport.get_write_buffer_size()
+        return self._pending_bytes + waiting
+
+    @property
+    def ending(self) -> bool:
+        return self._why is not None
+
+    def send(self, message: msgspec.Struct) -> None:
+        """Queue a message for the peer; a peer for which too much waits loses its connection."""
+        if self.ending:
+            return
+        try:
+            frame = self.codec.frame(encode(message))
+        except ValueError as err:
+            log.error("%s can't be sent to %s: %s", type(message).__name__, self.source, err)
+            self.abort(Closed.TOO_LONG)
+            return
+        if self.queued + len(frame) > QUEUE_MOST:
+            self.abort(Closed.QUEUE)
+            return
+        self.counts["frames_out"] += 1
+        self._pending.append(frame)
+        self._pending_bytes += len(frame)
+        if not self._flush_planned:
+            self._flush_planned = True
+            self.loop.call_soon(self._flush)
+
+    def close(self, why: Closed = Closed.HERE) -> None:
+        """End in order: what is queued still goes out, and the peer has `LINGER` s to read it."""
+        if self.ending or self._transport is None:
+            return
+        self._flush()
+        self._why = why
+        if self._transport.can_write_eof():
+            self._transport.write_eof()
+        self._set_deadline(LINGER, self._transport.abort)
+        self._tell_closed()
+
+    def abort(self, why: Closed) -> None:
+        """End at once; what is queued is lost."""
+        if self._why is None:
+            self._why = why
+        if self._transport is not None:
+            self._transport.abort()
+        self._tell_closed()
+
+    # What the loop calls.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        peer = transport.get_extra_info("peername")
+        self.source = f"{peer[0]}:{peer[1]}" if peer else "gone"
+        transport.set_write_buffer_limits(high=0)  # hear of each byte that waits, and of the last one's end
+        transport.write(self.codec.nonce)
+        self._set_deadline(HANDSHAKE_WITHIN, self._late)
+
+    def data_received(self, data: bytes) -> None:
+        if self.ending:
+            return
+        self.counts["bytes_in"] += len(data)
+        try:
+            for body in self.codec.feed(data):
+                self._frame(body)
+                if self.ending:
+                    return
+        except FrameError as err:
+            self.abort(err.why)
+            return
+        if self.codec.ready and self.side is Side.CLIENT and not self.established:
+            self._establish()
+
+    def eof_received(self) -> bool:
+        return False  # the transport closes itself
+
+    def pause_writing(self) -> None:
+        """Bytes wait in the transport: the peer, or the way to it, is slower than what is sent."""
+        if self.established and not self.ending:
+            self._watch_writes()
+            self.handler.backlog(self, self.queued)
+
+    def resume_writing(self) -> None:
+        """Nothing waits any more."""
+        if self.established and not self.ending:
+            self._clear_deadline()
+            self.handler.backlog(self, self.queued)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._clear_deadline()
+        if self._why is None:
+            self._why = Closed.PEER if exc is None else Closed.BROKEN
+        self._tell_closed()
+
+    # How it does so.
+
+    def _frame(self, body: bytes) -> None:
+        self.counts["frames_in"] += 1
+        try:
+            message = self.decoder.decode(body)
+        except (msgspec.MsgspecError, ValueError):
+            self.abort(Closed.FORM)
+            return
+        try:
+            if not self.established:
+                self._establish()
+            if not self.ending:
+                self.handler.received(self, message)
+        except Exception:  # one connection's fault stays its own
+            log.exception("a message of %s could not be handled", self.source)
+            self.abort(Closed.FAULT)
+
+    def _establish(self) -> None:
+        self.established = True
+        self._clear_deadline()
+        if self.queued:
+            self._watch_writes()
+        self.handler.opened(self)
+
+    def _flush(self) -> None:
+        self._flush_planned = False
+        if not self._pending or self._transport is None or self.ending:
+            return
+        data = b"".join(self._pending)
+        self._pending.clear()
+        self._pending_bytes = 0
+        self.counts["bytes_out"] += len(data)
+        self.counts["writes"] += 1
+        self._transport.write(data)
+
+    def _watch_writes(self) -> None:
+        self._stalled_at = self.queued
+        self._set_deadline(WRITE_WITHIN, self._check_writes)
+
+    def _check_writes(self) -> None:
+        """End the connection of a peer that has taken nothing since the last look."""
+        waiting = 0 if self._transport is None else self._transport.get_write_buffer_size()
+        if not waiting:
+            return
+        if waiting >= self._stalled_at:
+            self.abort(Closed.STALLED)
+        else:
+            self._stalled_at = waiting
+            self._set_deadline(WRITE_WITHIN, self._check_writes)
+
+    def _late(self) -> None:
+        self.abort(Closed.HANDSHAKE)
+
+    def _set_deadline(self, seconds: float, callback: Callable[[], object]) -> None:
+        self._clear_deadline()
+        self._deadline = self.loop.call_later(seconds, callback)
+
+    def _clear_deadline(self) -> None:
+        if self._deadline is not None:
+            self._deadline.cancel()
+            self._deadline = None
+
+    def _tell_closed(self) -> None:
+        if not self._told:
+            assert self._why is not None
+            self._told = True
+            self.counts[self._why.value] += 1
+            self.handler.closed(self, self._why)
+
+
+class Opener(Handler[Message], Protocol[Message]):
+    """Who opens connections: a handler that also hears when none comes up."""
+
+    def failed(self, refused: bool) -> None:
+        """No connection came up; `refused`: nobody listens there."""
+
+
+class Dialer(Generic[Message]):
+    """One outgoing connection at a time, and the attempt at it."""
+
+    def __init__(
+        self, seal: Seal, decoder: msgspec.msgpack.Decoder[Message], handler: Opener[Message],
+        counts: Counter[str],
+    ) -> None:  # fmt: skip
+        self.seal, self.decoder, self.handler, self.counts = seal, decoder, handler, counts
+        self.connection: Connection[Message] | None = None
+        self._attempt: asyncio.Task[None] | None = None
+
+    def dial(self, address: Address) -> None:
+        """Connect there in place of the present connection or attempt."""
+        self.hang_up()
+        self._attempt = asyncio.get_running_loop().create_task(self._connect(address))
+
+    def send(self, message: msgspec.Struct) -> None:
+        """Send on the connection; nothing where there is none."""
+        if self.connection is not None:
+            self.connection.send(message)
+
+    def hang_up(self) -> None:
+        """End the connection in order, or the attempt; neither is told of any more."""
+        if self._attempt is not None:
+            self._attempt.cancel()
+            self._attempt = None
+        connection, self.connection = self.connection, None
+        if connection is not None:
+            connection.close()
+
+    # As the handler of its connection: only of the present one.
+
+    def opened(self, connection: Connection[Message]) -> None:
+        if connection is self.connection:
+            self.handler.opened(connection)
+
+    def received(self, connection: Connection[Message], message: Message) -> None:
+        if connection is self.connection:
+            self.handler.received(connection, message)
+
+    def backlog(self, connection: Connection[Message], queued: int) -> None:
+        if connection is self.connection:
+            self.handler.backlog(connection, queued)
+
+    def closed(self, connection: Connection[Message], why: Closed) -> None:
+        if connection is self.connection:
+            self.connection = None
+            self.handler.closed(connection, why)
+
+    def _made(self) -> Connection[Message]:
+        self.connection = Connection(self.seal, Side.CLIENT, self.decoder, self, self.counts)
+        return self.connection
+
+    async def _connect(self, address: Address) -> None:
+        failure: OSError | None = None
+        try:
+            await self._open(address)
+        except OSError as err:
+            failure = err
+        if self._attempt is asyncio.current_task():
+            self._attempt = None
+        if failure is not None:
+            self.connection = None
+            self.counts["connects_failed"] += 1
+            self.handler.failed(isinstance(failure, ConnectionRefusedError))
+
+    async def _open(self, address: Address) -> None:
+        sock = await connect(address, CONNECT_WITHIN)
+        try:
+            await asyncio.get_running_loop().create_connection(self._made, sock=sock)
+        except BaseException:
+            sock.close()
+            raise
+
+
+def accepted(sock: socket.socket, connection: Connection[Any]) -> asyncio.Task[Any]:
+    """Put a connection on a socket that was accepted."""
+    loop = asyncio.get_running_loop()
+    sock.setblocking(False)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return loop.create_task(loop.connect_accepted_socket(lambda: connection, sock))
--- a/violetdoor/control/messages.py
+++ b/violetdoor/control/messages.py
@@ -221,14 +221,14 @@
 
 
 class SessionOpened(Struct, frozen=True, array_like=True, tag=1):
-    """To the leader, until its roster shows it: a relay has a session at the sender."""
+    """To the leader, until it has taken it: a relay has a session at the sender."""
 
     relay: Relay
     attempt: int
 
 
 class SessionEnded(Struct, frozen=True, array_like=True, tag=2):
-    """To the leader, until its roster shows it: that session is over, and why."""
+    """To the leader, until it has taken it: that session is over, and why."""
 
     key: RelayKey
     attempt: int
@@ -256,13 +256,18 @@
 
 
 class TermState(Struct, frozen=True, array_like=True, tag=6):
-    """The answer: the newest roster and what has settled at the sender, and all sessions that it has."""
+    """The answer: the newest roster and what has settled at the sender, and all sessions that it has.
+
+    `current`: that roster came while the sender was a member as it is now, so whatever has settled since
+    settled with its word, and its roster holds it.
+    """
 
     line: int
     term: int
     version: Version | None
     settled: Version | None
     sessions: tuple[SessionOpened, ...]
+    current: bool = False
 
 
 class SnapshotWanted(Struct, frozen=True, array_like=True, tag=7):
@@ -283,9 +288,24 @@
     version: Version
 
 
+class ReportTaken(Struct, frozen=True, array_like=True, tag=10):
+    """From the leader: a session's begin (`open`) or end has reached it, and needs no repeating."""
+
+    key: RelayKey
+    attempt: int
+    open: bool
+
+
+class NameTaken(Struct, frozen=True, array_like=True, tag=11):
+    """From the leader: this session is not admitted, as another run of a relay of its name is alive."""
+
+    key: RelayKey
+    attempt: int
+
+
 GroupMessage = (
     SessionOpened | SessionEnded | Replicate | Replicated | TermBegun | TermState | SnapshotWanted
-    | GroupSnapshot | Settled
+    | GroupSnapshot | Settled | ReportTaken | NameTaken
 )  # fmt: skip
 
 session_requests = msgspec.msgpack.Decoder(SessionRequest)
--- /dev/null
+++ b/violetdoor/control/sessions.py
@@ -0,0 +1,1 @@
+"""Sessions at one control machine: admission, silence, leases, and what is sent to whom."""
