--- /dev/null
+++ b/benchmarks/fleet_scale/__main__.py
@@ -0,0 +1,90 @@
+"""A large fleet on loopback, with faults: `python -m benchmarks.fleet_scale [--quick] [--write]`.
+
+Exit status 0 only where every bound was kept; 1 with what broke; 2 where the numbers make no fleet.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import sys
+from dataclasses import replace
+
+import uvloop
+
+from benchmarks.fleet_scale.bounds import broken
+from benchmarks.fleet_scale.layout import LayoutFaultError, Size
+from benchmarks.fleet_scale.report import TARGET, Outcome, page
+from benchmarks.fleet_scale.run import Request, run
+from benchmarks.fleet_scale.timeline import FULL, QUICK
+
+FULL_SIZE, QUICK_SIZE = Size(5600, 46, 10, 24), Size(700, 7, 2, 4)
+REAL, QUICK_REAL = 20, 2  # relays that are processes of the program
+
+
+def parse(arguments: list[str] | None = None) -> argparse.Namespace:
+    """The command line."""
+    parser = argparse.ArgumentParser(prog="python -m benchmarks.fleet_scale", description=__doc__)
+    parser.add_argument("--relays", type=int, help="hollow and real ones together")
+    parser.add_argument("--control", type=int, help="control machines, three to seven a region")
+    parser.add_argument("--regions", type=int)
+    parser.add_argument("--zones", type=int)
+    parser.add_argument("--seconds", type=float, help="that a region is cut off")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--quick", action="store_true", help="700 relays and short phases: within 45 s")
+    parser.add_argument("--alone", action="store_true", help="no small fleet at rest before, to compare with")
+    parser.add_argument("--write", action="store_true", help="keep the result in docs/measurements")
+    return parser.parse_args(arguments)
+
+
+def request(args: argparse.Namespace) -> Request:
+    """What to run, by the command line; raises LayoutFaultError."""
+    normal, schedule = (QUICK_SIZE, QUICK) if args.quick else (FULL_SIZE, FULL)
+    size = Size(
+        normal.relays if args.relays is None else args.relays,
+        normal.control if args.control is None else args.control,
+        normal.regions if args.regions is None else args.regions,
+        normal.zones if args.zones is None else args.zones,
+    )
+    size.check()
+    if args.seconds is not None:
+        schedule = replace(schedule, cut=args.seconds)
+    real = min(QUICK_REAL if args.quick else REAL, size.zones)
+    words = [
+        f"--{name} {value}" for name, value in vars(args).items() if value and not isinstance(value, bool)
+    ]
+    words += [f"--{name}" for name, value in vars(args).items() if value is True]
+    command = " ".join(["python -m benchmarks.fleet_scale", *words])
+    return Request(size, schedule, real, args.seed, command, compare=not (args.quick or args.alone))
+
+
+def show(outcome: Outcome) -> None:
+    """Print the page, what broke, and the figures in the last line."""
+    print(page(outcome))
+    for fault in outcome.faults:
+        print(f"BROKE: {fault}")
+    for bound in broken(outcome.bounds):
+        print(
+            f"BROKE: {bound.title}: {bound.unit.show(bound.value)}, expected {bound.unit.show(bound.limit)} at most"
+        )
+    print(outcome.last_line())
+
+
+def main() -> int:
+    """Run, print, and keep the result where that is asked for."""
+    args = parse()
+    try:
+        wanted = request(args)
+    except LayoutFaultError as err:
+        print(f"fleet_scale: {err}", file=sys.stderr)
+        return 2
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        outcome = runner.run(run(wanted))
+    show(outcome)
+    if args.write:
+        TARGET.write_text(page(outcome))
+    return 0 if outcome.good else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/benchmarks/fleet_scale/configs.py
@@ -0,0 +1,83 @@
+"""The configuration files of a run's processes, as an operator would write them."""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from benchmarks.fleet_scale.layout import ControlMachine, Layout, RealRelay
+from benchmarks.fleet_scale.protocol import Address
+
+KEY_BYTES = 32
+KEY_FILE = "fleet.key"
+SERVER = "127.0.0.1:9"  # a gate server that the relays have: nobody listens there, and no client comes
+
+
+def key_path(folder: Path) -> Path:
+    """The file of the shared key."""
+    return folder / KEY_FILE
+
+
+def write_key(folder: Path) -> None:
+    """Draw a shared key."""
+    key_path(folder).write_text(os.urandom(KEY_BYTES).hex())
+
+
+def write_control(
+    folder: Path, machine: ControlMachine, layout: Layout, regions: Mapping[str, tuple[Address, ...]]
+) -> Path:
+    """The file of a control machine; `regions`: where it reaches the sessions of each."""
+    group = layout.group(machine.region)
+    data = {
+        "name": machine.name,
+        "console": str(machine.console),
+        "log": "json",
+        "control": {
+            "region": machine.region,
+            "listen": str(machine.sessions),
+            "key": KEY_FILE,
+            "regions": {region: [str(address) for address in known] for region, known in regions.items()},
+        },
+        "fleet": {
+            "listen": str(machine.group),
+            "key": KEY_FILE,
+            "founders": [other.name for other in group],
+            "seeds": [str(other.group) for other in group if other != machine],
+            "state": f"{machine.name}.state",
+        },
+    }
+    return _write(folder, machine.name, data)
+
+
+def write_real(folder: Path, relay: RealRelay, layout: Layout) -> Path:
+    """The file of a real relay."""
+    fleet = {
+        "region": relay.region,
+        "control": [str(machine.sessions) for machine in layout.group(relay.region)],
+        "key": KEY_FILE,
+    }
+    return _write(folder, relay.name, _relay(relay) | {"fleet": fleet})
+
+
+def write_unattached(folder: Path, relay: RealRelay) -> Path:
+    """The file of the same relay without a control plane."""
+    return _write(folder, f"{relay.name}-unattached", _relay(relay))
+
+
+def _relay(relay: RealRelay) -> dict[str, Any]:
+    return {
+        "name": relay.name, "front": "line", "zone": relay.zone, "log": "json",
+        "listen": str(relay.listen), "console": str(relay.console),
+        "line": {"tenants": ["club"]}, "servers": [{"addr": SERVER}],
+        "classes": [{"name": "checkin", "aim_ms": 300, "deadline_ms": 1200, "message_aim_ms": 250}],
+    }  # fmt: skip
+
+
+def _write(folder: Path, name: str, data: dict[str, Any]) -> Path:
+    path = folder / f"{name}.json"
+    path.write_bytes(orjson.dumps(data, option=orjson.OPT_INDENT_2))
+    return path
--- /dev/null
+++ b/benchmarks/fleet_scale/fleet.py
@@ -0,0 +1,292 @@
+"""Everything that runs, and what is done to it: the faults of the time line in terms of processes."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+from collections.abc import Callable, Iterable
+from pathlib import Path
+from random import Random
+from typing import Any
+
+from benchmarks.fleet_scale import configs
+from benchmarks.fleet_scale import protocol as p
+from benchmarks.fleet_scale.keys import KeyPlan
+from benchmarks.fleet_scale.layout import ControlMachine, Layout, Network, RealRelay, Zone
+from benchmarks.fleet_scale.links import RegionLinks
+from benchmarks.fleet_scale.processes import Process, Processes
+from benchmarks.fleet_scale.records import History, HostHistory, UsageSample
+from violetdoor.control.messages import RelayKey
+
+SAMPLE_EVERY = 1.0  # s between two looks at the processes
+LOOK_EVERY = 0.1  # s between two looks whether what is waited for has come
+STARTS_AT_ONCE = 8  # processes that are started beside each other
+START_WITHIN = 30.0  # s until a started process answers its console
+STOP_WITHIN = 10.0  # s that a host has to write what it has not written
+CONSOLE_WITHIN = 2.0  # s that a console has to answer
+
+
+class FleetFaultError(Exception):
+    """The fleet of the run could not be brought up: nothing can be said of it."""
+
+
+class Fleet:
+    """The processes of one run, and their history."""
+
+    def __init__(
+        self, layout: Layout, network: Network, folder: Path, processes: Processes, keys: KeyPlan, seed: int,
+        cut_region: str | None,
+    ) -> None:  # fmt: skip
+        self.layout, self.folder, self.processes, self.keys, self.seed = layout, folder, processes, keys, seed
+        self.history = History()
+        self.links = RegionLinks(network.host(253))
+        self.cut_region = cut_region
+        self.controls: dict[str, Process] = {}
+        self.hosts: dict[str, Process] = {}
+        self.real: dict[str, Process] = {}
+        self.host_of: dict[str, str] = {}  # by the names of hollow relays
+        self.random = Random(seed)
+        self._audits = 0
+        self._sampling: asyncio.Task[None] | None = None
+
+    # Starting.
+
+    async def start_controls(self) -> None:
+        """Start all control machines, and wait until their consoles answer."""
+        configs.write_key(self.folder)
+        await self._some_at_once(self._start_control(machine) for machine in self.layout.machines)
+        self._sampling = asyncio.get_running_loop().create_task(self._sample())
+
+    async def _start_control(self, machine: ControlMachine) -> None:
+        path = configs.write_control(self.folder, machine, self.layout, self._regions_seen_by(machine))
+        process = await self.processes.start(
+            machine.name, ["violetdoor", "control", "--config", str(path)], self.folder
+        )
+        self.controls[machine.name] = process
+        await self._answers(process, machine.console)
+
+    def _regions_seen_by(self, machine: ControlMachine) -> dict[str, tuple[p.Address, ...]]:
+        """Where a machine reaches each region: over links that can be cut, from and to the region to be cut off."""
+        return {
+            region: tuple(self._route(machine.region, other) for other in self.layout.group(region))
+            for region in self.layout.regions
+        }
+
+    def _route(self, region: str, other: ControlMachine) -> p.Address:
+        crosses = region != other.region and self.cut_region in (region, other.region)
+        return self.links.through(other.sessions) if crosses else other.sessions
+
+    async def start_hosts(self, over: float) -> None:
+        """Start all hosts, and their relays spread over so many seconds."""
+        await self._some_at_once(
+            self._start_host(zone, rack) for zone in self.layout.zones for rack in (False, True)
+        )
+        for host in self.hosts:
+            self._command(host, p.Begin(over))
+
+    async def _start_host(self, zone: Zone, rack: bool) -> None:
+        name = rack_host(zone) if rack else zone_host(zone)
+        relays = zone.rack if rack else zone.hollow
+        controls = tuple(machine.sessions for machine in self.layout.group(zone.region))
+        names = frozenset(relay.name for relay in relays)
+        plan = p.HostPlan(
+            name, zone.region, self.layout.regions, controls, str(configs.key_path(self.folder)), relays,
+            self.keys.watched_by(zone.region, names), self.random.getrandbits(32),
+        )  # fmt: skip
+        path = self.folder / f"{name}.json"
+        path.write_bytes(p.encode(plan))
+        self.history.hosts[name] = HostHistory(zone.region, names)
+        self.host_of |= dict.fromkeys(names, name)
+
+        def take(line: bytes) -> None:
+            self.history.take(name, line)
+
+        self.hosts[name] = await self.processes.start(
+            name, ["benchmarks.fleet_scale.host", str(path)], self.folder, take
+        )
+
+    async def start_real(self) -> None:
+        """Start the real relays."""
+        await self._some_at_once(self._start_real(relay) for relay in self.layout.real)
+
+    async def _start_real(self, relay: RealRelay) -> None:
+        path = configs.write_real(self.folder, relay, self.layout)
+        process = await self.processes.start(relay.name, ["violetdoor", "--config", str(path)], self.folder)
+        self.real[relay.name] = process
+        await self._answers(process, relay.console)
+
+    async def start_unattached(self, relay: RealRelay) -> None:
+        """Start a real relay without a control plane, to see what that takes."""
+        path = configs.write_unattached(self.folder, relay)
+        process = await self.processes.start(relay.name, ["violetdoor", "--config", str(path)], self.folder)
+        self.real[relay.name] = process
+        await self._answers(process, relay.console)
+
+    @staticmethod
+    async def _some_at_once(starts: Iterable[Any]) -> None:
+        slots = asyncio.Semaphore(STARTS_AT_ONCE)
+
+        async def one(start: Any) -> None:
+            async with slots:
+                await start
+
+        await asyncio.gather(*(one(start) for start in starts))
+
+    async def _answers(self, process: Process, console: p.Address) -> None:
+        """Wait until a process answers its console."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + START_WITHIN
+        while loop.time() < until and process.running:
+            if await call(console, "GET", "/healthcheck") is not None:
+                return
+            await asyncio.sleep(LOOK_EVERY)
+        said = " | ".join(process.said)
+        raise FleetFaultError(f"{process.name} does not answer {console} within {START_WITHIN:g} s: {said}")
+
+    # Looking.
+
+    async def _sample(self) -> None:
+        while True:
+            for process in (*self.controls.values(), *self.real.values()):
+                usage = process.usage()
+                if usage is not None:
+                    self.history.usage[process.name].append(UsageSample(p.shared_clock(), usage))
+            await asyncio.sleep(SAMPLE_EVERY)
+
+    async def wait_for(self, true: Callable[[], bool], within: float) -> bool:
+        """Wait until something is so; False if that takes too long."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + within
+        while not true():
+            if loop.time() > until or self.processes.faults():
+                return False
+            await asyncio.sleep(LOOK_EVERY)
+        return True
+
+    def all_in_service(self) -> bool:
+        """Whether all hollow relays that should run are in a roster and hold a lease."""
+        for host in self.history.living_hosts(p.shared_clock()):
+            if not host.census:
+                return False
+            last = host.census[-1]
+            if not last.running == last.in_roster == last.acting:
+                return False
+        return True
+
+    def all_begun(self) -> bool:
+        """Whether all hollow relays have been started, and are in service."""
+        wanted = sum(len(host.names) for host in self.history.hosts.values())
+        return len(self.history.running) == wanted and self.all_in_service()
+
+    def living(self, region: str, among: frozenset[str] | None = None) -> list[str]:
+        """Names of running hollow relays of a region, in an order of the run's own."""
+        hosts = [name for name, host in self.history.hosts.items() if host.region == region]
+        names = sorted(n for h in hosts for n in self.history.hosts[h].names if n in self.history.running)
+        return [n for n in names if among is None or n in among]
+
+    async def audit(self) -> int:
+        """Let all hosts report where their relays stand; the number of the audit."""
+        self._audits += 1
+        number = self._audits
+        living = list(self.history.living_hosts(p.shared_clock()))
+        for name, host in self.history.hosts.items():
+            if host in living:
+                self._command(name, p.TakeAudit(number))
+        await self.wait_for(
+            lambda: all(host.audits and host.audits[-1].number == number for host in living), STOP_WITHIN
+        )
+        return number
+
+    # Faults.
+
+    def _command(self, host: str, command: p.Command) -> None:
+        self.hosts[host].send(p.encode(command))
+
+    def end_relay(self, name: str, how: p.Ending) -> None:
+        """End one hollow relay."""
+        self._command(self.host_of[name], p.EndRelays((name,), how))
+
+    def restart_relay(self, name: str, down: float) -> None:
+        """Let one hollow relay leave and start again."""
+        self._command(self.host_of[name], p.RestartRelay(name, down))
+
+    def stop_rack(self, zone: Zone) -> tuple[RelayKey, ...]:
+        """A rack's machines die: no connection ends, and nobody answers."""
+        name = rack_host(zone)
+        at = p.shared_clock()
+        self.hosts[name].ending = True
+        self.hosts[name].signal(signal.SIGSTOP)
+        return self.history.lose(name, at, "silent")
+
+    def kill_zone(self, zone: Zone) -> tuple[RelayKey, ...]:
+        """All processes of a zone's relays die at once."""
+        at = p.shared_clock()
+        lost: tuple[RelayKey, ...] = ()
+        for relay in zone.real:
+            self.real[relay.name].kill()
+            self.history.real_ended[relay.name] = at
+        for name in (zone_host(zone), rack_host(zone)):
+            if self.history.hosts[name].lost_at > at:
+                self.hosts[name].kill()
+                lost += self.history.lose(name, at, "closed")
+        return lost
+
+    def kill_control(self, machine: ControlMachine) -> None:
+        """A control machine's process dies."""
+        self.controls[machine.name].kill()
+
+    # The end.
+
+    async def close(self) -> None:
+        """Let the hosts write what they have not written; what then still runs is killed with the processes."""
+        if self._sampling is not None:
+            self._sampling.cancel()
+        stopping = []
+        for name, process in self.hosts.items():
+            if not process.ending:
+                process.ending = True
+                self._command(name, p.StopHost())
+                stopping.append(process)
+        waits = [asyncio.wait_for(one.process.wait(), STOP_WITHIN) for one in stopping]
+        for process, ended in zip(
+            stopping, await asyncio.gather(*waits, return_exceptions=True), strict=True
+        ):
+            if isinstance(ended, BaseException):
+                self.history.faults.append(f"{process.name} did not stop within {STOP_WITHIN:g} s")
+        await asyncio.gather(*(task for one in stopping for task in one.reading), return_exceptions=True)
+        await self.links.close()
+
+
+def zone_host(zone: Zone) -> str:
+    """The process that hosts a zone's relays, but for a rack."""
+    return f"host-{zone.name}"
+
+
+def rack_host(zone: Zone) -> str:
+    """The process that hosts the relays of a zone's rack."""
+    return f"host-{zone.name}-rack"
+
+
+async def call(console: p.Address, method: str, path: str) -> str | None:
+    """Call a console; the body of its answer, or nothing where it does not answer with success."""
+    try:
+        async with asyncio.timeout(CONSOLE_WITHIN):
+            reader, writer = await asyncio.open_connection(console.host, console.port)
+            writer.write(f"{method} {path} HTTP/1.1\r\nHost: fleet-scale\r\n\r\n".encode())
+            head, _, body = (await reader.read(-1)).decode().partition("\r\n\r\n")
+            writer.close()
+            return body if head.split()[1:2] == ["200"] else None
+    except (OSError, ValueError):
+        return None
+
+
+def memory_free_mib() -> int:
+    """What the machine could still give."""
+    fields = Path("/proc/meminfo").read_text().partition("MemAvailable:")[2].split()
+    return int(fields[0]) // 1024
+
+
+def cores() -> int:
+    """Cores of this machine."""
+    return os.cpu_count() or 1
--- /dev/null
+++ b/benchmarks/fleet_scale/keys.py
@@ -0,0 +1,57 @@
+"""Keys whose owners are sampled, and who could come to own them.
+
+Asking each of some thousand relays for each key, many times a second, would take more than the fleet does. A
+key's owner is the living relay that ranks first for it by rendezvous hashing; so the first few are asked at
+each look, and all others for one key at random, which would find an owner that the ranking doesn't explain.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterable
+
+from benchmarks.fleet_scale.layout import Layout
+from benchmarks.fleet_scale.protocol import KeyWatch
+from violetdoor.control.roster import home_region
+from violetdoor.fleet.view import weight
+
+RANKED = 12  # relays asked for each key: by one in 4,000 all of these stand in the half of a region that dies
+
+
+class KeyPlan:
+    """The keys of a run by their regions."""
+
+    def __init__(self, layout: Layout, count: int) -> None:
+        self.keys = tuple(f"key-{n:04d}" for n in range(count))
+        names = _names_by_region(layout)
+        self._ranked: dict[str, dict[str, tuple[str, ...]]] = defaultdict(dict)
+        for key in self.keys:
+            region = home_region(key, layout.regions)
+            self._ranked[region][key] = _first(key, names[region])
+
+    def watched_by(self, region: str, relays: frozenset[str]) -> tuple[KeyWatch, ...]:
+        """The keys of a region, and which of these relays rank high for them."""
+        return tuple(
+            KeyWatch(key, tuple(name for name in ranked if name in relays))
+            for key, ranked in self._ranked[region].items()
+        )
+
+    def of(self, region: str) -> frozenset[str]:
+        """The keys of a region."""
+        return frozenset(self._ranked[region])
+
+    def first(self, key: str) -> str:
+        """The relay that owns a key while all live."""
+        return next(ranked[key][0] for ranked in self._ranked.values() if key in ranked)
+
+
+def _names_by_region(layout: Layout) -> dict[str, list[str]]:
+    found: dict[str, list[str]] = defaultdict(list)
+    for zone in layout.zones:
+        found[zone.region] += [relay.name for relay in (*zone.hollow, *zone.rack)]
+        found[zone.region] += [relay.name for relay in zone.real]
+    return found
+
+
+def _first(key: str, names: Iterable[str]) -> tuple[str, ...]:
+    return tuple(sorted(names, key=lambda name: (weight(key, name), name), reverse=True)[:RANKED])
--- /dev/null
+++ b/benchmarks/fleet_scale/links.py
@@ -0,0 +1,122 @@
+"""TCP connections between regions, passed on by the harness so that a region can be cut off.
+
+A cut link goes on accepting and passes nothing: neither side hears of it, as where a route is lost. What was
+under way is passed on after the healing, as TCP would by sending it again.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+
+from benchmarks.fleet_scale.protocol import Address
+
+CHUNK = 64 * 1024
+BACKLOG = 256  # connections that wait to be accepted
+
+
+class CuttableLink:
+    """A listening address whose connections are passed on to a target."""
+
+    def __init__(self, host: str, target: Address) -> None:
+        self.target = target
+        self._socket = socket.create_server((host, 0), backlog=BACKLOG)
+        self._socket.setblocking(False)
+        self.address = Address(*self._socket.getsockname()[:2])
+        self._open = asyncio.Event()
+        self._open.set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.passed = 0  # bytes
+
+    def start(self) -> None:
+        """Begin to accept."""
+        self._spawn(self._accept())
+
+    def cut(self) -> None:
+        """Pass nothing on, until it is healed."""
+        self._open.clear()
+
+    def heal(self) -> None:
+        """Pass on again."""
+        self._open.set()
+
+    async def close(self) -> None:
+        """End all connections."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self._socket.close()
+
+    def _spawn(self, what: object) -> None:
+        task: asyncio.Task[None] = asyncio.get_running_loop().create_task(what)  # type: ignore[arg-type]
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _accept(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            near, _ = await loop.sock_accept(self._socket)
+            near.setblocking(False)
+            self._spawn(self._serve(near))
+
+    async def _serve(self, near: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        far = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        far.setblocking(False)
+        try:
+            await self._open.wait()
+            await loop.sock_connect(far, (self.target.host, self.target.port))
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._pump(near, far))
+                group.create_task(self._pump(far, near))
+        except* OSError:
+            pass  # either side has broken it: so the other one hears of that
+        finally:
+            near.close()
+            far.close()
+
+    async def _pump(self, source: socket.socket, to: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        while data := await loop.sock_recv(source, CHUNK):
+            await self._open.wait()
+            await loop.sock_sendall(to, data)
+            self.passed += len(data)
+        await self._open.wait()
+        with contextlib.suppress(OSError):
+            to.shutdown(socket.SHUT_WR)
+
+
+class RegionLinks:
+    """All links of a region that can be cut off: those that lead to it, and those that lead out of it."""
+
+    def __init__(self, host: str) -> None:
+        self.host = host
+        self._links: dict[Address, CuttableLink] = {}
+
+    def through(self, target: Address) -> Address:
+        """The address by which the target is reached over a link that can be cut."""
+        if target not in self._links:
+            link = self._links[target] = CuttableLink(self.host, target)
+            link.start()
+        return self._links[target].address
+
+    def cut(self) -> None:
+        """Cut the region off."""
+        for link in self._links.values():
+            link.cut()
+
+    def heal(self) -> None:
+        """Connect it again."""
+        for link in self._links.values():
+            link.heal()
+
+    @property
+    def passed(self) -> int:
+        """Bytes that have been passed on."""
+        return sum(link.passed for link in self._links.values())
+
+    async def close(self) -> None:
+        """End all connections."""
+        await asyncio.gather(*(link.close() for link in self._links.values()))
--- /dev/null
+++ b/benchmarks/fleet_scale/processes.py
@@ -0,0 +1,154 @@
+"""Processes of a run: each is started here, read from, looked at in /proc, and ended by its id."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import signal
+import sys
+from collections import deque
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+LINE_MOST = 1 << 20  # bytes of one line that a process writes
+KEPT_LINES = 30  # of what a process wrote to stderr, for the report of a fault
+END_WITHIN = 8.0  # s that a process has to end after SIGTERM, before it is killed
+CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
+
+LineHandler = Callable[[bytes], None]
+
+
+@dataclass(frozen=True, slots=True)
+class Usage:
+    """What a process has used since its start."""
+
+    cpu: float  # s
+    rss_kib: int
+    rss_peak_kib: int
+    descriptors: int
+
+
+class Process:
+    """One running process."""
+
+    def __init__(self, name: str, process: asyncio.subprocess.Process) -> None:
+        self.name, self.process = name, process
+        self.said: deque[str] = deque(maxlen=KEPT_LINES)
+        self.ending = False  # the run has told it to end, or killed it
+        self.reading: list[asyncio.Task[None]] = []
+
+    @property
+    def pid(self) -> int:
+        return self.process.pid
+
+    @property
+    def running(self) -> bool:
+        return self.process.returncode is None
+
+    def usage(self) -> Usage | None:
+        """What it has used; None where it has ended."""
+        folder = Path("/proc") / str(self.pid)
+        try:
+            fields = (folder / "stat").read_text().rpartition(")")[2].split()
+            status = (folder / "status").read_text()
+            descriptors = len(os.listdir(folder / "fd"))
+        except OSError:
+            return None
+        if "VmRSS:" not in status:  # it is a zombie
+            return None
+        cpu = (int(fields[11]) + int(fields[12])) / CLOCK_TICKS
+        return Usage(cpu, _kib(status, "VmRSS:"), _kib(status, "VmHWM:"), descriptors)
+
+    def send(self, line: bytes) -> None:
+        """Write a line to its stdin."""
+        if self.process.stdin is not None and self.running:
+            self.process.stdin.write(line + b"\n")
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send it a signal, if it still runs."""
+        with contextlib.suppress(ProcessLookupError):
+            self.process.send_signal(number)
+
+    def kill(self) -> None:
+        """End it at once."""
+        self.ending = True
+        self.signal(signal.SIGKILL)
+
+    async def end(self) -> None:
+        """Let it end in order; kill it where that takes too long."""
+        self.ending = True
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(END_WITHIN):
+                await self.process.wait()
+        except TimeoutError:
+            self.kill()
+            await self.process.wait()
+
+
+def _kib(status: str, field: str) -> int:
+    return int(status.partition(field)[2].split()[0])
+
+
+class Processes:
+    """All processes of a run. Leaving the context ends those that still run, also after a failure."""
+
+    def __init__(self) -> None:
+        self.all: list[Process] = []
+
+    async def __aenter__(self) -> Processes:
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for one in self.all:
+            if one.running:
+                one.kill()
+        await asyncio.gather(*(one.process.wait() for one in self.all))
+        readers = [task for one in self.all for task in one.reading]
+        await asyncio.gather(*readers, return_exceptions=True)
+
+    async def start(
+        self, name: str, arguments: Sequence[str], folder: Path, on_line: LineHandler | None = None
+    ) -> Process:
+        """Start `python -m ...` with these arguments; `on_line` gets what it writes to stdout."""
+        scratch = folder / f"tmp-{name}"
+        scratch.mkdir(exist_ok=True)
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", *arguments,
+            env=os.environ | {"TMPDIR": str(scratch)}, limit=LINE_MOST,
+            stdin=asyncio.subprocess.PIPE if on_line is not None else asyncio.subprocess.DEVNULL,
+            stdout=asyncio.subprocess.PIPE if on_line is not None else asyncio.subprocess.DEVNULL,
+            stderr=asyncio.subprocess.PIPE,
+        )  # fmt: skip
+        one = Process(name, process)
+        self.all.append(one)
+        loop = asyncio.get_running_loop()
+        one.reading.append(loop.create_task(self._keep_errors(one)))
+        if on_line is not None:
+            one.reading.append(loop.create_task(self._pass_lines(one, on_line)))
+        return one
+
+    def faults(self) -> list[str]:
+        """Processes that ended without being told to, with the last that each of them said."""
+        found = []
+        for one in self.all:
+            if one.running or one.ending:
+                continue
+            last = " | ".join(list(one.said)[-3:])
+            found.append(f"{one.name} ended with status {one.process.returncode}: {last}")
+        return found
+
+    @staticmethod
+    async def _keep_errors(one: Process) -> None:
+        assert one.process.stderr is not None
+        while line := await one.process.stderr.readline():
+            one.said.append(line.decode("utf-8", "replace").strip()[:500])
+
+    @staticmethod
+    async def _pass_lines(one: Process, on_line: LineHandler) -> None:
+        assert one.process.stdout is not None
+        while line := await one.process.stdout.readline():
+            on_line(line)
--- /dev/null
+++ b/benchmarks/fleet_scale/records.py
@@ -0,0 +1,137 @@
+"""What the hosts reported and the harness saw, as one history of typed records."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+import msgspec
+
+from benchmarks.fleet_scale import protocol as p
+from benchmarks.fleet_scale.processes import Usage
+from violetdoor.control.messages import RelayKey, Version
+
+
+@dataclass(frozen=True, slots=True)
+class Window:
+    """A stretch of the run."""
+
+    begin: float
+    end: float
+
+    def __contains__(self, at: float) -> bool:
+        return self.begin <= at <= self.end
+
+    @property
+    def seconds(self) -> float:
+        return self.end - self.begin
+
+
+@dataclass(frozen=True, slots=True)
+class Floor:
+    """From this moment on all relays of a host know at least this version."""
+
+    at: float
+    version: Version | None
+
+
+@dataclass(frozen=True, slots=True)
+class UsageSample:
+    """What a process had used at a moment."""
+
+    at: float
+    usage: Usage
+
+
+@dataclass
+class HostHistory:
+    """All that one host of hollow relays reported."""
+
+    region: str
+    names: frozenset[str]
+    lost_at: float = float("inf")  # when the harness ended it
+    census: list[p.Census] = field(default_factory=list)
+    rosters: list[Floor] = field(default_factory=list)
+    counts: dict[str, list[Floor]] = field(default_factory=lambda: defaultdict(list))
+    traffic: list[p.Traffic] = field(default_factory=list)
+    costs: list[p.Cost] = field(default_factory=list)
+    models: list[p.TrafficModel] = field(default_factory=list)
+    audits: list[p.Audit] = field(default_factory=list)
+
+
+@dataclass
+class History:
+    """The whole run."""
+
+    hosts: dict[str, HostHistory] = field(default_factory=dict)
+    members: list[p.Members] = field(default_factory=list)
+    started: list[p.RelayStarted] = field(default_factory=list)
+    in_service: list[p.RelayInService] = field(default_factory=list)
+    ended: dict[RelayKey, p.RelayEnded] = field(default_factory=dict)
+    real_ended: dict[str, float] = field(default_factory=dict)  # real relays by name
+    running: dict[str, RelayKey] = field(default_factory=dict)  # hollow relays by name
+    gaps: list[p.LeaseGap] = field(default_factory=list)
+    owned: list[p.Ownership] = field(default_factory=list)
+    faults: list[str] = field(default_factory=list)
+    usage: dict[str, list[UsageSample]] = field(default_factory=lambda: defaultdict(list))
+    windows: dict[str, Window] = field(default_factory=dict)  # of the phases, by their names
+
+    def take(self, host: str, line: bytes) -> None:
+        """Take in a line of a host."""
+        try:
+            record = p.records.decode(line)
+        except (msgspec.MsgspecError, ValueError) as err:
+            self.faults.append(f"{host} wrote what is no record: {err}")
+            return
+        self._add(self.hosts[host], record)
+
+    def _add(self, host: HostHistory, record: p.Record) -> None:
+        match record:
+            case p.Census():
+                host.census.append(record)
+            case p.Members():
+                self.members.append(record)
+            case p.RosterFloor():
+                host.rosters.append(Floor(record.at, record.version))
+            case p.CountFloor():
+                host.counts[record.region].append(Floor(record.at, record.version))
+            case p.RelayStarted():
+                self.started.append(record)
+                self.running[record.relay.name] = record.relay
+            case p.RelayInService():
+                self.in_service.append(record)
+            case p.RelayEnded():
+                self.end(record)
+            case p.LeaseGap():
+                self.gaps.append(record)
+            case p.Ownership():
+                self.owned.append(record)
+            case p.Traffic():
+                host.traffic.append(record)
+            case p.TrafficModel():
+                host.models.append(record)
+            case p.Audit():
+                host.audits.append(record)
+            case p.Cost():
+                host.costs.append(record)
+            case p.HostFault():
+                self.faults.append(record.text)
+
+    def end(self, record: p.RelayEnded) -> None:
+        """Note that a relay has ended."""
+        self.ended[record.relay] = record
+        if self.running.get(record.relay.name) == record.relay:
+            del self.running[record.relay.name]
+
+    def lose(self, host: str, at: float, how: p.Ending) -> tuple[RelayKey, ...]:
+        """Note that the harness has ended a host, and with it all its relays."""
+        self.hosts[host].lost_at = at
+        lost = tuple(self.running[n] for n in self.hosts[host].names if n in self.running)
+        for relay in lost:
+            self.end(p.RelayEnded(at, relay, how))
+        return lost
+
+    def living_hosts(self, at: float) -> Iterator[HostHistory]:
+        """Hosts that have not been ended by then."""
+        return (host for host in self.hosts.values() if host.lost_at > at)
--- /dev/null
+++ b/benchmarks/fleet_scale/report.py
@@ -0,0 +1,60 @@
+"""The table of bounds, and the page that keeps it."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from benchmarks.fleet_scale.bounds import Bound, broken
+from benchmarks.machine import described
+
+TARGET = Path(__file__).parent.parent.parent / "docs" / "measurements" / "fleet_scale.md"
+
+
+@dataclass
+class Outcome:
+    """What a run has come to."""
+
+    title: str  # the size of the fleet
+    command: str
+    bounds: list[Bound] = field(default_factory=list)
+    faults: list[str] = field(default_factory=list)  # of the harness, the hosts and the processes
+    notes: list[str] = field(default_factory=list)  # how the figures were made
+    phases: list[str] = field(default_factory=list)
+
+    @property
+    def good(self) -> bool:
+        return not self.faults and not broken(self.bounds)
+
+    def last_line(self) -> str:
+        """The figures in one line."""
+        kept = len(self.bounds) - len(broken(self.bounds))
+        figures = ", ".join(f"{bound.title}: {bound.unit.show(bound.value)}" for bound in self.bounds)
+        return f"fleet_scale {self.title}; {kept} of {len(self.bounds)} bounds kept; {figures}"
+
+
+def table(bounds: Sequence[Bound]) -> list[str]:
+    """Each figure beside its bound."""
+    lines = ["| | bound | aim | measured | samples | |", "| --- | --- | --- | --- | --- | --- |"]
+    for bound in bounds:
+        aim = "" if bound.aim is None else bound.unit.show(bound.aim)
+        lines.append(
+            f"| {bound.title} | {bound.unit.show(bound.limit)} | {aim} | {bound.unit.show(bound.value)} "
+            f"| {bound.samples} | {bound.verdict}{'; ' + bound.note if bound.note else ''} |"
+        )
+    return lines
+
+
+def page(outcome: Outcome) -> str:
+    """The page of a run."""
+    lines = [
+        "# A large fleet, measured", "",
+        f"{outcome.title}, on {described()}, by `{outcome.command}`. All processes shared this machine.", "",
+        *table(outcome.bounds), "",
+        "## What was done", "", *(f"- {phase}" for phase in outcome.phases), "",
+        "## How the figures are made", "", *(f"- {note}" for note in outcome.notes), "",
+    ]  # fmt: skip
+    if outcome.faults:
+        lines += ["## What broke", "", *(f"- {fault}" for fault in outcome.faults), ""]
+    return "\n".join(lines)
--- /dev/null
+++ b/benchmarks/fleet_scale/run.py
@@ -0,0 +1,108 @@
+"""One run from start to end: the fleet is laid out, brought up, played with, ended and judged."""
+
+from __future__ import annotations
+
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+
+from benchmarks.fleet_scale.fleet import Fleet, FleetFaultError
+from benchmarks.fleet_scale.keys import KeyPlan
+from benchmarks.fleet_scale.layout import Layout, Network, Size, lay_out
+from benchmarks.fleet_scale.processes import Processes
+from benchmarks.fleet_scale.report import Outcome
+from benchmarks.fleet_scale.timeline import Schedule, TimeLine
+from benchmarks.fleet_scale.verdict import RestFigures, Verdict, rest_figures
+
+SMALL = Size(700, 7, 2, 4)  # what a relay takes is compared with a fleet of this size
+KEYS = 200
+CUT_LEAST = 2  # regions, where one can be cut off
+
+NOTES = (
+    "Control machines and real relays are processes of the program; hollow relays are its attachment and its "
+    "connection code, some hundred in a process, without clients. Looks at them come every 0.1 s, at counts every "
+    "0.5 s and at owners every 0.25 s, so times are late by up to that much.",
+    "A death is known in its region once the rosters of all living hollow relays there show it, and everywhere once "
+    "all counts of that region have that version. A machine's death leaves the socket open without a word; a "
+    "process's death closes it. A rack is a stopped process.",
+    "Bytes are TCP_INFO's payload and segments both ways, 52 a segment (IPv4, TCP, timestamps), as many segments as "
+    "Ethernet would need, acknowledgements in them. Ethernet's own 18 a frame are not.",
+    "Processor and memory of a hollow relay are its part of its host's, less what the looks take of the processor.",
+    "Owners: the relays that rank first for a key are asked, and each relay for one key at random; clocks are shared, "
+    "and intervals in which a relay said at each look that it owns a key are compared afterwards.",
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """What to run."""
+
+    size: Size
+    schedule: Schedule
+    real: int  # relays that are processes of the program
+    seed: int
+    command: str
+    compare: bool  # with a small fleet at rest
+
+
+async def run(request: Request) -> Outcome:
+    """Play it; what broke is in the outcome."""
+    small = None
+    if request.compare:
+        small = await _small_at_rest(request)
+    outcome = Outcome(_title(request.size), request.command, notes=list(NOTES))
+    with tempfile.TemporaryDirectory(prefix="violetdoor-fleet-scale-") as folder:
+        await _play(request, Path(folder), small, outcome)
+    return outcome
+
+
+def _title(size: Size) -> str:
+    return (
+        f"{size.relays:,} relays, {size.control} control machines, {size.regions} regions, {size.zones} zones"
+    )
+
+
+async def _play(request: Request, folder: Path, small: RestFigures | None, outcome: Outcome) -> None:
+    network = Network()
+    layout = lay_out(request.size, network, request.real)
+    cut_region = layout.regions[-1] if len(layout.regions) >= CUT_LEAST else None
+    try:
+        async with Processes() as processes:
+            fleet = _fleet(layout, network, folder, processes, request.seed, cut_region)
+            line = TimeLine(fleet, request.schedule)
+            try:
+                await line.play()
+            except FleetFaultError as err:
+                outcome.faults.append(str(err))
+            finally:
+                await fleet.close()
+            outcome.faults += processes.faults() + fleet.history.faults
+    finally:
+        network.close()
+    outcome.phases = line.played.steps
+    if not outcome.faults:
+        outcome.bounds = Verdict(fleet, line.played, small).bounds()
+
+
+async def _small_at_rest(request: Request) -> RestFigures:
+    """What a relay takes at rest in a small fleet."""
+    network = Network()
+    layout = lay_out(SMALL, network, real=0)
+    try:
+        with tempfile.TemporaryDirectory(prefix="violetdoor-fleet-scale-") as folder:
+            async with Processes() as processes:
+                fleet = _fleet(layout, network, Path(folder), processes, request.seed, None)
+                line = TimeLine(fleet, request.schedule)
+                try:
+                    await line.rest_alone()
+                finally:
+                    await fleet.close()
+                return rest_figures(fleet.history, SMALL.relays)
+    finally:
+        network.close()
+
+
+def _fleet(
+    layout: Layout, network: Network, folder: Path, processes: Processes, seed: int, cut_region: str | None
+) -> Fleet:
+    return Fleet(layout, network, folder, processes, KeyPlan(layout, KEYS), seed, cut_region)
--- /dev/null
+++ b/benchmarks/fleet_scale/timeline.py
@@ -0,0 +1,227 @@
+"""The faults of a run, phase by phase, in regions that do not touch each other."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from random import Random
+
+from benchmarks.fleet_scale import protocol as p
+from benchmarks.fleet_scale.fleet import Fleet, FleetFaultError
+from benchmarks.fleet_scale.layout import ControlMachine, Zone
+from benchmarks.fleet_scale.records import Window
+from violetdoor.control.messages import RelayKey
+
+RESTARTS_A_DAY = 3900  # of 5,600 relays
+DAY = 86_400.0  # s
+PACE = 100.0  # times as fast as the day's restarts come
+RELAYS_OF_THE_DAY = 5600
+DOWN_FOR = 0.2  # s that a restarted relay is away
+ENDINGS: tuple[p.Ending, ...] = ("closed", "silent", "left")
+FIRST_WITHIN = 90.0  # s until all relays are in service after the start
+MAJORITY_AFTER_TWO = 5  # machines of a group that goes on with two of them dead
+
+
+@dataclass(frozen=True, slots=True)
+class Schedule:
+    """How long the phases take; seconds."""
+
+    start: float  # over which relays are started
+    settle: float  # from the last start to the first look
+    rest: float
+    churn: float
+    single_ends: int  # of each kind
+    spacing: float  # from one of them to the next
+    known: float  # from the last end to the cut
+    cut: float
+    second_kill: float  # from the first control machine's death to the second one's
+    after_heal: float = 10.0
+
+    @property
+    def shortest(self) -> float:
+        """What the phases take together, but for the start."""
+        ends = len(ENDINGS) * self.single_ends * self.spacing
+        return self.settle + self.rest + self.churn + ends + self.known + self.cut + self.after_heal
+
+
+FULL = Schedule(30.0, 6.0, 15.0, 25.0, 14, 0.25, 15.0, 60.0, 20.0)
+QUICK = Schedule(3.0, 3.0, 4.0, 4.0, 3, 0.3, 3.0, 8.0, 3.0)
+
+
+@dataclass
+class Played:
+    """What was done, for the measures."""
+
+    single_ends: list[str] = field(default_factory=list)  # names of relays that were ended one by one
+    rack: tuple[RelayKey, ...] = ()
+    zone: tuple[RelayKey, ...] = ()
+    cut_at: float = 0.0
+    healed_at: float = 0.0
+    first_kill: Window | None = None
+    second_kill: Window | None = None
+    killed_region: str = ""
+    cut_region: str = ""
+    audit_at_rest: int = 0
+    audit_after_heal: int = 0
+    healed_after: float = 0.0  # s from the healing to the audit
+    steps: list[str] = field(default_factory=list)
+
+
+class TimeLine:
+    """Plays a schedule on a fleet."""
+
+    def __init__(self, fleet: Fleet, schedule: Schedule) -> None:
+        self.fleet, self.schedule = fleet, schedule
+        self.random = Random(fleet.seed)
+        self.played = Played()
+        regions = fleet.layout.regions
+        # Roles of regions: with ten each has its own, with two the first takes all faults but the cut.
+        self.rack_zone, self.dead_zone = self._zones(regions)
+        self.kill_region = self._largest_group(regions[2:-1] or regions[:1])
+        self.cut_region = fleet.cut_region
+
+    def _zones(self, regions: Sequence[str]) -> tuple[Zone, Zone]:
+        first = self.fleet.layout.zones_of(regions[0])[0]
+        second = self.fleet.layout.zones_of(regions[1 if len(regions) > 2 else 0])[-1]
+        return first, second
+
+    def _largest_group(self, regions: Sequence[str]) -> str:
+        return max(regions, key=lambda region: len(self.fleet.layout.group(region)))
+
+    @asynccontextmanager
+    async def _phase(self, name: str) -> AsyncIterator[None]:
+        begin = p.shared_clock()
+        try:
+            yield
+        finally:
+            self.fleet.history.windows[name] = Window(begin, p.shared_clock())
+
+    def _step(self, text: str) -> None:
+        self.played.steps.append(text)
+
+    async def play(self) -> Played:
+        """All phases; FleetFaultError where the fleet does not come up."""
+        await self.begin()
+        async with self._phase("rest"):
+            await asyncio.sleep(self.schedule.rest)
+        self.played.audit_at_rest = await self.fleet.audit()
+        async with self._phase("churn"):
+            await self.churn()
+        async with self._phase("ends"):
+            await self.single_ends()
+        async with self._phase("many ends"):
+            await self.many_ends()
+        if self.cut_region is not None:
+            async with self._phase("cut"):
+                await asyncio.gather(self.cut(), self.kill_controls())
+            async with self._phase("healed"):
+                await self.heal()
+        return self.played
+
+    async def rest_alone(self) -> None:
+        """The start and a rest, and nothing else."""
+        await self.begin()
+        async with self._phase("rest"):
+            await asyncio.sleep(self.schedule.rest)
+
+    async def begin(self) -> None:
+        """Bring the fleet up and let it settle."""
+        begin = p.shared_clock()
+        await self.fleet.start_controls()
+        await self.fleet.start_hosts(self.schedule.start)
+        await self.fleet.start_real()
+        if not await self.fleet.wait_for(self.fleet.all_begun, FIRST_WITHIN):
+            raise FleetFaultError(
+                f"not all relays are in service within {FIRST_WITHIN:g} s: {self._missing()}"
+            )
+        self._step(
+            f"All started, over {self.schedule.start:g} s; in service after {p.shared_clock() - begin:.0f} s."
+        )
+        await asyncio.sleep(self.schedule.settle)
+
+    def _missing(self) -> str:
+        census = [host.census[-1] for host in self.fleet.history.hosts.values() if host.census]
+        running, acting = sum(c.running for c in census), sum(c.acting for c in census)
+        return f"{running} run, {acting} hold a lease; {'; '.join(self.fleet.processes.faults())}"
+
+    async def churn(self) -> None:
+        """Restarts in order, at the pace of a day played faster."""
+        rate = PACE * RESTARTS_A_DAY / DAY * self.fleet.layout.size.relays / RELAYS_OF_THE_DAY
+        count = max(1, round(rate * self.schedule.churn))
+        names = sorted(self.fleet.history.running)
+        chosen = self.random.sample(names, count)
+        for name in chosen:
+            self.fleet.restart_relay(name, DOWN_FOR)
+            await asyncio.sleep(1.0 / rate)
+        self._step(
+            f"{count} relays restarted one by one, {rate:.2f} a second over {self.schedule.churn:g} s."
+        )
+
+    async def single_ends(self) -> None:
+        """Relays that die with their process, die with their machine, or leave, in all regions in turn."""
+        living = {region: self.fleet.living(region) for region in self.fleet.layout.regions}
+        spared = {
+            relay.name for zone in (self.rack_zone, self.dead_zone) for relay in (*zone.rack, *zone.hollow)
+        }
+        regions = [r for r, names in living.items() if set(names) - spared]
+        for number in range(self.schedule.single_ends):
+            for how in ENDINGS:
+                region = regions[(number * len(ENDINGS) + ENDINGS.index(how)) % len(regions)]
+                name = self.random.choice([n for n in living[region] if n not in spared])
+                living[region].remove(name)
+                self.fleet.end_relay(name, how)
+                self.played.single_ends.append(name)
+                await asyncio.sleep(self.schedule.spacing)
+        self._step(
+            f"{self.schedule.single_ends} relays each, in all regions in turn: the process died, the machine died, "
+            f"left in order; one every {self.schedule.spacing:g} s."
+        )
+
+    async def many_ends(self) -> None:
+        """A rack's machines die in one region, a zone's processes in another one."""
+        self.played.rack = self.fleet.stop_rack(self.rack_zone)
+        self.played.zone = self.fleet.kill_zone(self.dead_zone)
+        self._step(
+            f"At once: a rack's {len(self.played.rack)} relays went silent in {self.rack_zone.region}, and the "
+            f"{len(self.played.zone)} of a zone died in {self.dead_zone.region}; {self.schedule.known:g} s to know."
+        )
+        await asyncio.sleep(self.schedule.known)
+
+    async def cut(self) -> None:
+        """Cut a region off, for a while."""
+        assert self.cut_region is not None
+        self.played.cut_region = self.cut_region
+        self.played.cut_at = p.shared_clock()
+        self.fleet.links.cut()
+        await asyncio.sleep(self.schedule.cut)
+        self._step(f"{self.cut_region} was cut off from all others for {self.schedule.cut:g} s.")
+
+    async def kill_controls(self) -> None:
+        """Meanwhile kill a control machine of another region, and of a group of five a second one."""
+        group = self.fleet.layout.group(self.kill_region)
+        self.played.killed_region = self.kill_region
+        self.played.first_kill = await self._kill_control(group[0], self.schedule.second_kill)
+        text = f"One control machine of {len(group)} was killed in {self.kill_region}"
+        if len(group) >= MAJORITY_AFTER_TWO:
+            self.played.second_kill = await self._kill_control(group[1], self.schedule.second_kill)
+            text += f", a second one {self.schedule.second_kill:g} s later"
+        self._step(text + ".")
+
+    async def _kill_control(self, machine: ControlMachine, watch: float) -> Window:
+        begin = p.shared_clock()
+        self.fleet.kill_control(machine)
+        await asyncio.sleep(watch)
+        return Window(begin, p.shared_clock())
+
+    async def heal(self) -> None:
+        """Connect the region again, and ask a while later where all relays stand."""
+        self.fleet.links.heal()
+        self.played.healed_at = p.shared_clock()
+        await asyncio.sleep(self.schedule.after_heal)
+        self.played.healed_after = p.shared_clock() - self.played.healed_at
+        self.played.audit_after_heal = await self.fleet.audit()
+        self._step(
+            f"Healed; all relays were asked for their rosters and counts {self.schedule.after_heal:g} s later."
+        )
--- /dev/null
+++ b/tests/test_fleet_scale.py
@@ -0,0 +1,206 @@
+"""The harness of a large fleet: its measures by histories made by hand, its sockets, and a quick run."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from benchmarks.fleet_scale import measures, traffic
+from benchmarks.fleet_scale import protocol as p
+from benchmarks.fleet_scale.bounds import COUNT, SECONDS, Bound, broken
+from benchmarks.fleet_scale.keys import KeyPlan
+from benchmarks.fleet_scale.layout import LayoutFaultError, Network, Size, lay_out
+from benchmarks.fleet_scale.links import RegionLinks
+from benchmarks.fleet_scale.processes import Processes
+from benchmarks.fleet_scale.records import Floor, History, HostHistory, Window
+from benchmarks.fleet_scale.report import Outcome, page
+from violetdoor.control.messages import RelayKey, Version
+
+ONE, OTHER = RelayKey("one", 1), RelayKey("other", 2)
+BEFORE, AFTER, LATER = Version(1, 1, 1), Version(1, 1, 2), Version(1, 2, 1)
+
+
+def history() -> History:
+    """Two hosts in region a and one in region b."""
+    made = History()
+    made.hosts = {
+        "a0": HostHistory("a", frozenset({"one"})),
+        "a1": HostHistory("a", frozenset({"other"})),
+        "b0": HostHistory("b", frozenset({"far"})),
+    }
+    for host in ("a0", "a1"):
+        made.hosts[host].rosters += [Floor(0.0, BEFORE), Floor(12.0 + (host == "a1"), AFTER)]
+    made.hosts["b0"].counts["a"] += [Floor(0.0, BEFORE), Floor(15.0, LATER)]
+    made.members.append(p.Members(12.0, "a", AFTER, 7, (), (ONE,)))
+    made.end(p.RelayEnded(10.0, ONE, "silent"))
+    return made
+
+
+def test_an_end_is_known_once_the_last_host_knows_its_roster_or_a_later_one() -> None:
+    made = history()
+    (known,) = measures.ends_known(made, made.ended.values(), frozenset())
+    assert (known.region, known.everywhere) == (3.0, 5.0)
+    (known,) = measures.ends_known(made, made.ended.values(), frozenset({"b"}))
+    assert known.everywhere == 3.0  # a region that is cut off need not know
+
+
+def test_an_end_that_one_host_never_hears_of_is_never_known() -> None:
+    made = history()
+    made.hosts["a1"].rosters.pop()
+    (known,) = measures.ends_known(made, made.ended.values(), frozenset())
+    assert known.region == known.everywhere == measures.NEVER
+    made.hosts["a1"].lost_at = 11.0  # unless that host was ended itself
+    (known,) = measures.ends_known(made, made.ended.values(), frozenset())
+    assert known.region == 2.0
+    made.members.clear()
+    (known,) = measures.ends_known(made, made.ended.values(), frozenset())
+    assert known.region == measures.NEVER
+
+
+def test_a_relay_that_is_taken_out_alive_is_found() -> None:
+    made = history()
+    assert measures.wrongful_removals(made, 0.5) == []
+    made.members.append(p.Members(13.0, "a", LATER, 7, (), (OTHER,)))
+    assert measures.wrongful_removals(made, 0.5) == [OTHER]
+    made.end(p.RelayEnded(14.0, OTHER, "closed"))  # it ended after it was taken out
+    assert measures.wrongful_removals(made, 0.5) == [OTHER]
+
+
+@pytest.mark.parametrize(
+    ("intervals", "overlaps"),
+    [
+        ([(0.0, 5.0, ONE), (5.5, 9.0, OTHER)], 0),
+        ([(0.0, 5.0, ONE), (5.0, 9.0, ONE)], 0),
+        ([(0.0, 5.0, ONE), (4.5, 9.0, OTHER)], 1),
+        ([(0.0, 9.0, ONE), (1.0, 1.0, OTHER)], 1),  # one look within the other's time
+        ([(0.0, 9.0, ONE), (1.0, 2.0, ONE), (8.0, 8.5, OTHER)], 1),
+    ],
+)
+def test_two_owners_at_a_time_are_found(
+    intervals: list[tuple[float, float, RelayKey]], overlaps: int
+) -> None:
+    owned = [p.Ownership(begin, end, "key", relay) for begin, end, relay in intervals]
+    assert len(measures.keys_with_two_owners(owned)) == overlaps
+    assert not measures.keys_with_two_owners([o for o in owned if o.relay == ONE])
+
+
+def test_lease_gaps_count_where_they_touch_a_window() -> None:
+    made = history()
+    made.gaps = [p.LeaseGap(1.0, 2.0, ONE), p.LeaseGap(3.0, 5.0, OTHER)]
+    assert [gap.relay for gap in measures.lease_gaps(made, Window(4.0, 9.0))] == [OTHER]
+    assert not measures.lease_gaps(made, Window(4.0, 9.0), frozenset({"b"}))
+
+
+def test_a_restart_that_never_comes_into_service_is_never_in() -> None:
+    made = history()
+    made.started = [p.RelayStarted(1.0, ONE), p.RelayStarted(2.0, OTHER)]
+    made.in_service = [p.RelayInService(1.5, ONE)]
+    assert measures.service_times(made, Window(0.0, 5.0)) == [0.5, measures.NEVER]
+
+
+def test_relays_that_stand_apart_are_found_by_version_and_by_members() -> None:
+    def audited(*rosters: p.Standing, counted: Version = AFTER) -> int:
+        made = history()
+        made.hosts["a0"].audits.append(p.Audit(1.0, 1, rosters, ()))
+        made.hosts["b0"].audits.append(p.Audit(1.0, 1, (), (p.Standing("a", counted, 5, 1),)))
+        return measures.agreement(made, 1).apart
+
+    here = p.Standing("a", AFTER, 7, 3)
+    assert audited(here) == 0
+    assert audited(here, p.Standing("a", BEFORE, 7, 1)) == 1
+    assert audited(here, p.Standing("a", AFTER, 8, 1)) == 1
+    assert audited(here, counted=BEFORE) == 1
+
+
+def test_a_bound_that_is_missed_or_was_not_measured_breaks_the_run() -> None:
+    kept, missed = Bound("kept", SECONDS, 5.0, 5.0), Bound("missed", SECONDS, 5.0, 7.25)
+    empty = Bound("empty", COUNT, 0, 0, samples=0)
+    assert broken([kept, missed, empty]) == [missed, empty]
+    outcome = Outcome("a fleet", "command", [kept, missed, empty])
+    assert not outcome.good and "missed by 2.25 s" in page(outcome) and "2 bounds" not in outcome.last_line()
+    assert Outcome("a fleet", "command", [kept]).good
+    assert not Outcome("a fleet", "command", [kept], ["a process died"]).good
+
+
+@pytest.fixture
+def network() -> Iterator[Network]:
+    made = Network()
+    yield made
+    made.close()
+
+
+def test_the_full_fleet_is_laid_out_as_its_numbers_say(network: Network) -> None:
+    layout = lay_out(Size(5600, 46, 10, 24), network, 20)
+    relays = [len(z.hollow) + len(z.rack) + len(z.real) for z in layout.zones]
+    assert (sum(relays), min(relays), max(relays)) == (5600, 233, 234)
+    assert {len(layout.group(region)) for region in layout.regions} == {4, 5} and len(layout.machines) == 46
+    assert len(layout.real) == 20 and all(len(zone.rack) == 40 for zone in layout.zones)
+    keys = KeyPlan(layout, 200)
+    assert sum(len(keys.of(region)) for region in layout.regions) == 200
+    with pytest.raises(LayoutFaultError, match="expected 3 to 7 a region"):
+        Size(5600, 20, 10, 24).check()
+
+
+def test_a_cut_link_is_silent_and_brings_what_waited_once_it_is_healed(network: Network) -> None:
+    async def echo(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while data := await reader.read(100):
+            writer.write(data)
+
+    async def play() -> None:
+        server = await asyncio.start_server(echo, network.host(1), 0)
+        links = RegionLinks(network.host(253))
+        through = links.through(p.Address(*server.sockets[0].getsockname()[:2]))
+        reader, writer = await asyncio.open_connection(through.host, through.port)
+        writer.write(b"one")
+        assert await reader.read(100) == b"one"
+        links.cut()
+        writer.write(b"two")
+        with pytest.raises(TimeoutError):
+            await asyncio.wait_for(reader.read(100), 0.2)
+        links.heal()
+        assert await asyncio.wait_for(reader.read(100), 5.0) == b"two"
+        writer.close()
+        await links.close()
+        server.close()
+
+    asyncio.run(play())
+
+
+def test_kernel_counts_are_the_payload_and_segments_of_a_connection() -> None:
+    with socket.create_server(("127.0.0.1", 0)) as listening:
+        here = socket.create_connection(listening.getsockname())
+        there, _ = listening.accept()
+    with here, there:
+        before = traffic.kernel_counts(here)
+        here.sendall(b"x" * 300)
+        assert len(there.recv(1000)) == 300
+        there.sendall(b"y" * 5000)
+        received = 0
+        while received < 5000:
+            received += len(here.recv(10_000))
+        counts = traffic.kernel_counts(here).since(before)
+    assert (counts.bytes_out, counts.bytes_in) == (300, 5000)
+    assert counts.segments_out >= 1 and counts.segments_in >= 1
+    # 5,000 bytes take four segments on Ethernet, though one or two here
+    assert counts.wire >= 5300 + 52 * (1 + 4)
+
+
+def test_processes_are_ended_whatever_happens_and_a_death_is_told(tmp_path: Path) -> None:
+    async def play() -> None:
+        with pytest.raises(RuntimeError, match="in the middle"):
+            async with Processes() as processes:
+                held = await processes.start("held", ["http.server", "--bind", "127.0.0.1", "0"], tmp_path)
+                failed = await processes.start("failed", ["no.such.module"], tmp_path)
+                await failed.process.wait()
+                await asyncio.gather(*failed.reading)
+                assert held.usage() is not None
+                (fault,) = processes.faults()
+                assert fault.startswith("failed ended with status 1") and "no.such" in fault
+                raise RuntimeError("in the middle")
+        assert not held.running and held.usage() is None
+
+    asyncio.run(play())
