--- a/violetdoor/control/connection.py
+++ b/violetdoor/control/connection.py
@@ -5,8 +5,8 @@
 frame can be left out, repeated, reordered or played on another connection without the seal failing, and a
 frame that fails ends its connection and nothing else. Frames are authenticated, not encrypted.
 
-`FrameCodec` has no input or output. `Connection` puts it on an asyncio transport: a control machine has up to a
-thousand of these, so there is no task per connection, and what is sent in one round of the loop is one write.
+`FrameCodec` has no input or output. `Connection` puts it on an asyncio transport: a control machine has up
+to a thousand of these, so there is no task per connection, and what is sent in one round is one write.
 """
 
 from __future__ import annotations
@@ -194,8 +194,14 @@
 
     @property
     def ending(self) -> bool:
+        """Whether it was closed, here or by the peer."""
         return self._why is not None
 
+    @property
+    def socket(self) -> Any:
+        """The socket below, to be looked at only (`TransportSocket`); none before there is one."""
+        return None if self._transport is None else self._transport.get_extra_info("socket")
+
     def send(self, message: msgspec.Struct) -> None:
         """Queue a message for the peer; a peer for which too much waits loses its connection."""
         if self.ending:
