--- a/violetdoor/control/messages.py
+++ b/violetdoor/control/messages.py
@@ -16,8 +16,15 @@
 
 PROTOCOL_VERSION = 1  # spoken by both sides of a session; another one is refused
 FRAME_MOST = 64 * 1024  # bytes of one frame with its seal
-SNAPSHOT_CHUNK = 250  # members in one `SnapshotChunk`: about 16 KiB, a quarter of a frame
+NAME_MOST, HOST_MOST, ZONE_MOST = 80, 80, 40  # bytes of what a relay says of itself
+RELAY_BYTES = NAME_MOST + HOST_MOST + ZONE_MOST + 20  # of one `Relay` at the most
+KEY_BYTES = NAME_MOST + 12  # of one `RelayKey` at the most
+SNAPSHOT_CHUNK = 250  # members in one `SnapshotChunk`: about 16 KiB, and 55 KB at the most
 ENTRIES_CHUNK = 250  # entries of the shared map in one `Entries`
+ENTRY_KEY_MOST = 128  # bytes of a key of the shared map: so many of them fit into a frame
+
+RefusalReason = Literal["busy", "full", "name", "behind", "not ready", "region", "version"]
+EndReason = Literal["left", "closed", "silent"]
 
 
 class Version(Struct, frozen=True, array_like=True, order=True):
@@ -143,7 +150,7 @@
     region: str
     regions: tuple[str, ...]  # all regions of the fleet, in the order of their names
     heartbeat: float  # from one heartbeat to the next
-    silence: float  # without a word after which either side gives the session up
+    silence: float  # without a word after which the one that was welcomed gives the session up
     lease: float  # that a heartbeat is granted
 
 
@@ -154,7 +161,7 @@
     older roster than the relay; `not ready`: it has no roster yet; `region`, `version`: the wrong one.
     """
 
-    why: Literal["busy", "full", "name", "behind", "not ready", "region", "version"]
+    why: RefusalReason
     retry_after: float = 0.0  # s
 
 
@@ -193,9 +200,13 @@
 
 
 class Entries(Struct, frozen=True, array_like=True, tag=7):
-    """Entries of the shared map."""
+    """Entries of the shared map.
+
+    `last`: with this the whole map was sent. The reader puts what it holds beyond it.
+    """
 
     entries: tuple[Entry, ...]
+    last: bool = False
 
 
 class LookupAnswer(Struct, frozen=True, array_like=True, tag=8):
@@ -232,7 +243,7 @@
 
     key: RelayKey
     attempt: int
-    why: Literal["left", "closed", "silent"]
+    why: EndReason
 
 
 class Replicate(Struct, frozen=True, array_like=True, tag=3):
@@ -271,7 +282,9 @@
 
 
 class SnapshotWanted(Struct, frozen=True, array_like=True, tag=7):
-    """Send the whole roster."""
+    """Send the whole roster, or the deltas that follow the one that is known."""
+
+    known: Version | None = None
 
 
 class GroupSnapshot(Struct, frozen=True, array_like=True, tag=8):
--- a/violetdoor/control/roster.py
+++ b/violetdoor/control/roster.py
@@ -1,4 +1,4 @@
-"""The roster of one region: its living relays under a version, the deltas between versions, and owners of keys.
+"""The roster of one region: its living relays at a version, deltas between versions, and owners of keys.
 
 Nothing here decides who lives: the leader of a control group does (`sequencer`). Everybody else applies
 what it wrote.
@@ -7,9 +7,12 @@
 from __future__ import annotations
 
 from collections import Counter, deque
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 from violetdoor.control.messages import (
+    FRAME_MOST,
+    KEY_BYTES,
+    RELAY_BYTES,
     SNAPSHOT_CHUNK,
     Delta,
     Relay,
@@ -24,6 +27,8 @@
 DELTAS_MOST = 512  # kept for sessions that are behind: a zone's restart one by one
 DELTA_BYTES_MOST = 256 * 1024  # of these together: beyond it a snapshot of 600 members (40 KB) is shorter
 MEMBERS_MOST = 4096  # of one roster; a snapshot that claims more is refused
+DELTA_BYTES = 64  # of a delta without its relays
+FRAME_SPARE = 1024  # bytes of a frame for its seal and what surrounds the deltas
 OWNERS_KEPT = 1024  # keys whose owner is remembered until the roster changes
 
 
@@ -158,3 +163,17 @@
         if place is None:
             return None
         return tuple(delta for delta, _ in list(self._deltas)[place - self._dropped :])
+
+
+def in_frames(deltas: Sequence[Delta]) -> list[tuple[Delta, ...]]:
+    """Deltas in order, in parts that fit into a frame each."""
+    parts: list[list[Delta]] = []
+    room = 0
+    for delta in deltas:
+        size = DELTA_BYTES + len(delta.joined) * RELAY_BYTES + len(delta.gone) * KEY_BYTES
+        if size > room or not parts:
+            parts.append([])
+            room = FRAME_MOST - FRAME_SPARE
+        parts[-1].append(delta)
+        room -= size
+    return [tuple(part) for part in parts]
--- a/violetdoor/events.py
+++ b/violetdoor/events.py
@@ -19,6 +19,17 @@
 FLEET_PAUSED = "fleet.paused"  # this process was stopped for a while
 FLEET_CLEAR = "fleet.clear"  # no lease under an earlier view can still hold
 
+# The control plane of a large fleet. Values: see docs/operators/fleet-scale.md.
+CONTROL_TERM = "control.term"  # this control machine leads, and has written its term's first roster
+CONTROL_MEMBERS = "control.members"  # the leader wrote who joined and who has gone
+CONTROL_QUORUM, CONTROL_ALONE = "control.quorum", "control.alone"  # leases can be granted; no more
+CONTROL_REFUSED = "control.refused"  # a session was not opened
+CONTROL_DROPPED = "control.dropped"  # a session was closed for a fault of its own
+CONTROL_REGION, CONTROL_REGION_LOST = "control.region", "control.region.lost"  # another one is followed; not
+ATTACH_OPEN, ATTACH_LOST = "attach.open", "attach.lost"  # this relay has a session; it has none any more
+ATTACH_REFUSED = "attach.refused"  # a control machine did not open a session
+ATTACH_LIVE, ATTACH_STALE = "attach.live", "attach.stale"  # this relay's lease holds; it is over
+
 
 class Values(dict[str, Any]):
     """The values of an event; as text, one after another."""
