--- a/violetdoor/control/machine.py
+++ b/violetdoor/control/machine.py
@@ -350,6 +350,12 @@
         if not quorum:
             self.sessions.send_all_away("no quorum", now)
 
+    def reconfigure(self, plan: MachinePlan) -> None:
+        """Go over to other limits and addresses; the names of machine and regions are as before."""
+        self.plan = plan
+        self.sessions.reconfigure(plan)
+        self.regions.reconfigure(plan)
+
     def stop(self, now: float) -> None:
         """An orderly end: all sessions are told to go elsewhere, and none is taken any more."""
         self.stopping = self.sessions.stopping = True
--- a/violetdoor/control/regions.py
+++ b/violetdoor/control/regions.py
@@ -249,6 +249,11 @@
         }
         self._tell_at = now
 
+    def reconfigure(self, plan: MachinePlan) -> None:
+        """Go over to other addresses: they are tried once those known before have all been."""
+        for one in self.by_name.values():
+            one.plan = plan
+
     def owner(self, region: str, key: str) -> str | None:
         """The owner of a key in another region, by the newest roster of it that is known here."""
         follower = self.by_name.get(region)
--- a/violetdoor/control/sequencer.py
+++ b/violetdoor/control/sequencer.py
@@ -407,10 +407,11 @@
             settled = self._marks.popleft().version
         if self.replica.settle(settled):
             self._tell_settled_at = now
-        if now >= self._tell_settled_at and self.replica.settled is not None:
-            self._tell_settled_at = now + TELL_SETTLED
-            for member in self.progress:
-                self._send(member, Settled(self.replica.settled))
+        if now < self._tell_settled_at:
+            return
+        self._tell_settled_at = now + TELL_SETTLED
+        for member in self.progress if self.replica.settled is not None else ():
+            self._send(member, Settled(self.replica.settled))
 
     def _settles_at(self, mark: Mark) -> float:
         return max(mark.at, self.cleared_at) + LEASE_OVER
--- a/violetdoor/control/sessions.py
+++ b/violetdoor/control/sessions.py
@@ -132,6 +132,11 @@
 
     # Opening.
 
+    def reconfigure(self, plan: MachinePlan) -> None:
+        """Go over to other limits: they hold for what comes from now on."""
+        self.plan = plan
+        self._bucket.rate, self._bucket.burst = plan.limits.attach_rate, plan.limits.attach_burst
+
     def opened(self, number: int, source: str, now: float) -> None:
         """A connection was accepted."""
         session = Session(number, source, now)
--- a/violetdoor/faults/control_world.py
+++ b/violetdoor/faults/control_world.py
@@ -135,7 +135,9 @@
         relay.stopped, relay.wakes_at, relay.connection, relay.beat_at = False, math.inf, None, -math.inf
         controls = tuple((self.host(one).address[0], CONTROL_PORT) for one in self.groups[region])
         plan = AttachmentPlan(name, f"host-{name}", 4222, zone, region, controls)
-        relay.attachment = Attachment(plan, self._random(), self.relay_clock(relay), lambda: self.unix_of(relay))
+        relay.attachment = Attachment(
+            plan, self._random(), self.relay_clock(relay), lambda: self.unix_of(relay)
+        )
         self._act_relay(relay)
         return relay
 
