--- a/violetdoor/control/sequencer.py
+++ b/violetdoor/control/sequencer.py
@@ -410,8 +410,9 @@
         if now < self._tell_settled_at:
             return
         self._tell_settled_at = now + TELL_SETTLED
-        for member in self.progress if self.replica.settled is not None else ():
-            self._send(member, Settled(self.replica.settled))
+        if self.replica.settled is not None:
+            for member in self.progress:
+                self._send(member, Settled(self.replica.settled))
 
     def _settles_at(self, mark: Mark) -> float:
         return max(mark.at, self.cleared_at) + LEASE_OVER
--- a/violetdoor/faults/control_world.py
+++ b/violetdoor/faults/control_world.py
@@ -187,7 +187,7 @@
             self._after_node(control, control.machine)
 
     def _after_node(self, control: Control, machine: Machine) -> None:
-        """The node of a control machine's group took a step: what changed by it?"""
+        """Tell a control machine what a step of its group's node changed."""
         node, now = control.host.node, self.clock(control.host)
         assert node is not None
         if control.changed:
@@ -372,10 +372,10 @@
             if client.attachment is not None and client.connection is None and not client.stopped:
                 client.attachment.disconnected(self.relay_clock(client), refused=True)
                 self._act_relay(client)
-        elif client.machine is not None and connection.region not in client.following:
-            if not client.host.stopped:
+        elif client.machine is not None and not client.host.stopped:
+            if connection.region not in client.following:
                 client.machine.region_lost(connection.region, self.clock(client.host))
-                self._act_control(client)
+            self._act_control(client)
 
     def _accept(self, connection: Connection) -> None:
         server = connection.server
