--- a/tests/test_control_connection.py
+++ b/tests/test_control_connection.py
@@ -6,14 +6,15 @@
 import contextlib
 import socket
 from collections import Counter
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
 
 import pytest
+import uvloop
 from hypothesis import given
 from hypothesis import strategies as st
-from standins import run, until
+from standins import PATIENCE, until
 
 from violetdoor.control import connection as c
 from violetdoor.control import messages as m
@@ -24,6 +25,17 @@
 KEY, OTHER_KEY = b"0123456789abcdef0123456789abcdef", b"another key of the same length.."
 
 
+def run(test: Callable[[], Awaitable[None]]) -> None:
+    """Run one test's coroutine on both loops: the program's, and that of tests and tools."""
+
+    async def bounded() -> None:
+        async with asyncio.timeout(PATIENCE):
+            await test()
+
+    asyncio.run(bounded())
+    uvloop.run(bounded())
+
+
 def pair(client_key: bytes = KEY) -> tuple[c.FrameCodec, c.FrameCodec]:
     """Both sides of a connection whose nonces were exchanged."""
     client = c.FrameCodec(Seal(client_key), c.Side.CLIENT)
--- a/violetdoor/cli/commands.py
+++ b/violetdoor/cli/commands.py
@@ -11,11 +11,12 @@
 
 from violetdoor import config as settings
 from violetdoor import settings as forms
+from violetdoor.cli.control import control_group
 from violetdoor.cli.ending import FILE, STATUS, fail
 from violetdoor.cli.faults import faults_group
 from violetdoor.cli.fleet import fleet_group
 
-FORMS = {"operator": forms.Operator, "platform": forms.Platform}
+FORMS = {"operator": forms.Operator, "platform": forms.Platform, "control": forms.ControlFile}
 
 
 @click.group(epilog=STATUS, context_settings={"help_option_names": ["-h", "--help"]})
@@ -37,6 +38,7 @@
     return begin(path)
 
 
+cli.add_command(control_group)
 cli.add_command(fleet_group)
 cli.add_command(faults_group)
 
@@ -69,6 +71,10 @@
         data = settings.parsed(path)
         if form == "platform":
             return settings.placed(path, forms.faults(forms.Platform, data))
+        if form == "control":
+            from violetdoor.control.config import control_form
+
+            return settings.placed(path, control_form(data)[1])
         operator, found = settings.operator_form(data)
         if operator is None:
             return settings.placed(path, found)
--- a/violetdoor/cli/fleet.py
+++ b/violetdoor/cli/fleet.py
@@ -62,6 +62,11 @@
     state = _status(console, path)
     held = f"lease holds for {state['lease_left_s']:.1f} s"
     lease = held if state["may_act"] else "no lease: it does nothing that is one relay's to do"
+    if "region" in state:
+        where = f"attached to {state['control']}" if state["state"] == "attached" else state["state"]
+        counted = f"roster {state['version'] or '-'}, {state['living']['total']} relays live"
+        click.echo(f"{state['name']}: region {state['region']}, {where}, {counted}, {lease}")
+        return 0 if state["may_act"] else 1
     view = f"view {state['view']} {state['digest']}, {state['size']} members"
     click.echo(f"{state['name']}: {state['standing']}, {view}, {lease}")
     return 0 if state["may_act"] else 1
@@ -71,7 +76,12 @@
 @_options
 def members(console: str | None, path: Path | None) -> int:
     """Print who is in the view, and how each is from here."""
-    for m in _status(console, path)["members"]:
+    state = _status(console, path)
+    if "region" in state:  # attached: how the others are is known to the control machines
+        for name in state["members"]:
+            click.echo(name)
+        return 0
+    for m in state["members"]:
         heard = "" if m["heard_s"] is None else f"heard {m['heard_s']:.1f} s ago"
         where = f"{m['address']:22s} {m['zone'] or '-':12s}"
         click.echo(f"{m['name']:20s} {where} {m['health']:8s} since /{m['since']}  {heard}")
@@ -97,6 +107,8 @@
     run somewhere go on by themselves, and both sides act.
     """
     state = _status(console, path)
+    if "region" in state:
+        fail(f"{state['name']} is attached: a majority of its control machines decides", 1)
     if not yes:
         lost = [m["name"] for m in state["members"] if m["health"] not in ("self", "alive")]
         click.confirm(f"Are these relays surely stopped: {', '.join(lost) or 'none'}?", abort=True, err=True)
--- a/violetdoor/config.py
+++ b/violetdoor/config.py
@@ -23,7 +23,8 @@
 from violetdoor.fronts.line.options import LineOptions
 from violetdoor.net.sockets import Address, parse_address
 
-if TYPE_CHECKING:  # the platform's relay has neither in its memory
+if TYPE_CHECKING:  # the platform's relay has none of these in its memory
+    from violetdoor.control.config import AttachmentOptions
     from violetdoor.fronts.nats.front import NatsOptions
     from violetdoor.rules.source import RulesSource
 
@@ -51,6 +52,7 @@
     nats: NatsOptions | None = None  # none: the front is that of the line protocol
     overload: forms.Overload | None = None  # none: nobody is turned away for the relay's own load
     fleet: forms.Fleet | None = None  # none: this relay knows of no other; its files' paths are whole
+    control: AttachmentOptions | None = None  # none: this relay attaches to no control machines
     log: str = "plain"
     rules: RulesSource | None = None  # none: requests are what they say they are
 
@@ -66,7 +68,7 @@
 
     def fixed_changes(self, new: Config) -> list[str]:
         """What is different in a newer configuration and takes a restart."""
-        names = ("name", "listen", "console", "sockets", "overload", "fleet", "log")
+        names = ("name", "listen", "console", "sockets", "overload", "fleet", "control", "log")
         changed = [name for name in names if getattr(self, name) != getattr(new, name)]
         if self.nats and new.nats:
             beside_tenants = msgspec.structs.replace(new.nats, tenants=self.nats.tenants)
@@ -287,7 +289,8 @@
         platform=False,
         nats=nats,
         overload=o.overload,
-        fleet=_fleet(o.fleet, path) if o.fleet else None,
+        fleet=_fleet(o.fleet, path) if o.fleet and o.fleet.listen else None,
+        control=_control(o, o.fleet, path) if o.fleet and o.fleet.control else None,
         log=o.log,
         rules=_rules(o, path) if o.rules else None,
     )
@@ -300,6 +303,20 @@
     return msgspec.structs.replace(fleet, key=key, state=state)
 
 
+def _control(o: forms.Operator, fleet: forms.Fleet, path: Path) -> AttachmentOptions:
+    """What a relay needs in order to attach to its region's control machines."""
+    from violetdoor.control.config import AttachmentOptions
+
+    assert fleet.region is not None
+    return AttachmentOptions(
+        region=fleet.region,
+        controls=tuple(parse_address(address) for address in fleet.control),
+        key=path.parent / fleet.key,
+        advertise=parse_address(fleet.advertise) if fleet.advertise else None,
+        wait=fleet.wait,
+    )
+
+
 def _rules(o: forms.Operator, path: Path) -> RulesSource:
     """The text of the rules, and where it begins."""
     from violetdoor.rules.source import RulesSource
--- /dev/null
+++ b/violetdoor/control/config.py
@@ -0,0 +1,93 @@
+"""The configuration of the control plane: a relay's attachment, and a control machine's own file."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from violetdoor import settings as forms
+from violetdoor.config import ConfigError, parsed, placed
+from violetdoor.control.actions import Limits, MachinePlan
+from violetdoor.fleet.node import Plan
+from violetdoor.net.sockets import Address, parse_address
+
+SHOWN_MOST = 3  # faults that stand in the one line of an error
+
+
+@dataclass(slots=True, frozen=True)
+class AttachmentOptions:
+    """What an operator's file says of a relay's attachment to its region's control machines."""
+
+    region: str
+    controls: tuple[Address, ...]
+    key: Path
+    advertise: Address | None  # where others reach this relay, if not where it listens for clients
+    wait: float  # s that a start waits for the first lease before clients are taken
+
+
+@dataclass(slots=True, frozen=True)
+class ControlConfig:
+    """What one control machine runs by."""
+
+    listen: Address  # of sessions
+    console: Address | None
+    key: Path
+    plan: MachinePlan
+    group: Plan
+    group_listen: Address
+    group_state: Path | None
+    log: str
+
+    def fixed_changes(self, new: ControlConfig) -> list[str]:
+        """What is different in a newer configuration and takes a restart."""
+        names = ("listen", "console", "key", "group", "group_listen", "group_state", "log")
+        changed = [name for name in names if getattr(self, name) != getattr(new, name)]
+        changed += [
+            name for name in ("name", "region") if getattr(self.plan, name) != getattr(new.plan, name)
+        ]
+        if set(self.plan.regions) != set(new.plan.regions):
+            changed.append("names of regions")
+        return changed
+
+
+def read(path: Path) -> ControlConfig:
+    """Read a control machine's file; ConfigError with file, line and field where it does not read."""
+    data = parsed(path)
+    form, found = control_form(data)
+    if form is None:
+        lines = placed(path, found)
+        more = [f"and {len(lines) - SHOWN_MOST} more"] if len(lines) > SHOWN_MOST else []
+        raise ConfigError("; ".join([*lines[:SHOWN_MOST], *more]))
+    return _config(form, path)
+
+
+def control_form(data: dict[str, Any]) -> tuple[forms.ControlFile | None, list[forms.Fault]]:
+    """A control machine's file in its form, or all its faults."""
+    try:
+        form = msgspec.convert(data, forms.ControlFile)
+    except msgspec.ValidationError as err:
+        return None, forms.faults(forms.ControlFile, data) or [forms.Fault((), str(err))]
+    found = list(forms.control_faults(form))
+    return (None if found else form), found
+
+
+def _config(form: forms.ControlFile, path: Path) -> ControlConfig:
+    control, group = form.control, form.control.group
+    listen = parse_address(group.listen)
+    at = parse_address(group.advertise) if group.advertise else listen
+    seeds = tuple(parse_address(seed) for seed in group.seeds)
+    regions = {name: tuple(map(parse_address, texts)) for name, texts in control.regions.items()}
+    limits = Limits(sessions=control.limits.sessions, attach_rate=control.limits.attaches)
+    return ControlConfig(
+        listen=parse_address(control.listen),
+        console=parse_address(control.console) if control.console else None,
+        key=path.parent / control.key,
+        plan=MachinePlan(control.name, control.region, regions, limits),
+        group=Plan(control.name, *at, control.zone, seeds, frozenset(group.founders)),
+        group_listen=listen,
+        group_state=path.parent / group.state if group.state else None,
+        log=form.log,
+    )
--- a/violetdoor/control/connection.py
+++ b/violetdoor/control/connection.py
@@ -18,7 +18,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterator
 from enum import Enum
-from typing import Any, Generic, Protocol, TypeVar
+from typing import Any, Generic, Protocol, TypeVar, cast
 
 import msgspec
 
@@ -244,12 +244,11 @@
     # What the loop calls.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
-        self._transport = transport
-        peer = transport.get_extra_info("peername")
+        self._transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass of it
+        peer = self._transport.get_extra_info("peername")
         self.source = f"{peer[0]}:{peer[1]}" if peer else "gone"
-        transport.set_write_buffer_limits(high=0)  # hear of each byte that waits, and of the last one's end
-        transport.write(self.codec.nonce)
+        self._transport.set_write_buffer_limits(high=0)  # hear of each byte that waits, and when none does
+        self._transport.write(self.codec.nonce)
         self._set_deadline(HANDSHAKE_WITHIN, self._late)
 
     def data_received(self, data: bytes) -> None:
--- a/violetdoor/fleet/endpoint.py
+++ b/violetdoor/fleet/endpoint.py
@@ -14,7 +14,7 @@
 import socket
 import time
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from pathlib import Path
 from typing import Any
 
@@ -58,6 +58,9 @@
         self.on_change: list[Callable[[str, float | None], None]] = []
         self.channels: dict[str, MessageHandler] = {}  # who hears messages that come on streams
         self.on_active_relays: Callable[[int | None], None] = lambda count: None
+        self.on_step: Callable[[], None] = lambda: (
+            None
+        )  # after each step of the node, before others hear of it
         self.active_relays: int | None = None
         self.loop = asyncio.get_running_loop()
         self.buffer = bytearray(m.MAX_DATAGRAM + 1)
@@ -152,6 +155,12 @@
         self._flush_actions()
         return took
 
+    def merge(self, entries: Iterable[m.Entry]) -> None:
+        """Take in entries that were set elsewhere; the other members hear of them with the next packets."""
+        size = 1 if self.node.view is None else len(self.node.view.members)
+        self.node.map.merge(entries, time.time() * 1000, size)
+        self._flush_actions()
+
     def force(self) -> str:
         """Go on without a majority; why not, or nothing."""
         why = self.node.force(self.clock())
@@ -250,6 +259,7 @@
         """Keep, send, call and tell what the node wants, and plan its next waking."""
         if not self.open:
             return
+        self.on_step()
         node = self.node
         out = node.datagrams, node.calls
         node.datagrams, node.calls = [], []
--- a/violetdoor/fleet/service.py
+++ b/violetdoor/fleet/service.py
@@ -6,7 +6,6 @@
 import base64
 import logging
 import socket
-import time
 from collections.abc import Callable, Mapping
 from http import HTTPStatus
 from pathlib import Path
@@ -20,15 +19,13 @@
 from violetdoor.fleet.node import Plan
 from violetdoor.fleet.seal import KeyFileError, read_key
 from violetdoor.fleet.state_file import StateFileError
-from violetdoor.maintenance.service import Maintenance
+from violetdoor.maintenance.sharing import SharedServers
 from violetdoor.net.sockets import parse_address
 from violetdoor.services import Host, Message, Service
 from violetdoor.settings import Fleet as Options
 
 log = logging.getLogger("violetdoor")
 
-BAN, DRAIN = "ban", "drain"  # kinds of the shared map's keys
-DRAIN_TTL = 30_000.0  # ms for which a server's own word that it drains is believed; the core's figure
 HANDOVER_TIMEOUT = (
     2.0  # s that a predecessor has to say what it is in the fleet, once this process takes clients
 )
@@ -45,11 +42,11 @@
         self.options = options
         self.waiting: asyncio.TimerHandle | None = None
         self.fleet = self._begin(options)
-        self.maintenance = next(one for one in host.services if isinstance(one, Maintenance))
-        self.maintenance.on_change.append(self._share_ban)
-        self.core.on_drain = self._share_drain
+        self.servers = SharedServers(host, self.fleet.put)
+        self.fleet.on_change.append(self.servers.apply)
 
     def _begin(self, options: Options) -> Fleet:
+        assert options.listen is not None  # else the relay attaches: `violetdoor.control.service`
         bind, config = parse_address(options.listen), self.host.config
         at = parse_address(options.advertise) if options.advertise else bind
         seeds = tuple(parse_address(seed) for seed in options.seeds)
@@ -61,7 +58,6 @@
             raise ConfigError(str(err)) from err
         fleet = Fleet(plan, bind, key, Path(options.state) if options.state else None, routes)
         fleet.on_active_relays = self.core.relays
-        fleet.on_change.append(self._apply_shared)
         return fleet
 
     async def start(self) -> None:
@@ -111,25 +107,6 @@
             log.error("this relay can't go on in its fleet, tried again: %s", err)
             self.waiting = asyncio.get_running_loop().call_later(START_RETRY, self._take_over, handover)
 
-    # What the view is used for.
-
-    def _share_ban(self, server: str, since: float | None) -> None:
-        if not self.fleet.put(f"{BAN}:{server}", since):
-            log.error("the fleet's shared map is full: only this relay knows of %s", server)
-
-    def _share_drain(self, server: str) -> None:
-        self.fleet.put(f"{DRAIN}:{server}", time.time() * 1000)
-
-    def _apply_shared(self, key: str, value: float | None) -> None:
-        """Do as another relay did."""
-        kind, _, server = key.partition(":")
-        if kind == BAN and value is None:
-            self.maintenance.put_back(server)
-        elif kind == BAN and server not in self.core.bans:
-            self.maintenance.leave_out(server, value, known=False)
-        elif kind == DRAIN and value is not None and time.time() * 1000 < value + DRAIN_TTL:
-            self.core.drains(server, told=True)
-
     # Operators.
 
     def gauges(self) -> Mapping[str, Callable[[], int]]:
--- a/violetdoor/program.py
+++ b/violetdoor/program.py
@@ -34,7 +34,7 @@
 
 # Services that a configuration may ask for, by the value of it that does, in the order of their start. Each
 # is a folder with a `service.py`, and imported where it is asked for.
-BEFORE_CLIENTS = ("rules", "overload", "fleet")
+BEFORE_CLIENTS = ("rules", "overload", "fleet", "control")
 AFTER_CLIENTS = ("console",)
 
 HELD_SIGNALS = {signal.SIGHUP, signal.SIGTERM}  # wait until the program is there to hear them
--- a/violetdoor/settings.py
+++ b/violetdoor/settings.py
@@ -164,10 +164,16 @@
 
 
 class Fleet(Closed):
-    """The relays that keep a view of one another; off without this table."""
+    """The relays that know one another; off without this table.
+
+    With `listen` they keep a view of one another; with `region` and `control` this relay attaches to the
+    control machines of its region instead.
+    """
 
-    listen: Address  # datagrams and calls of the other relays
     key: Name  # file of the shared key, beside this one
+    listen: Address | None = None  # datagrams and calls of the other relays
+    region: Name | None = None  # that this relay belongs to
+    control: list[Address] = []  # where the control machines of the region take sessions
     seeds: list[Address] = []  # relays that are asked to let this one in
     founders: list[Name] = []  # names of the relays that begin a fleet together
     advertise: Address | None = None  # where the others reach this one, if not at `listen`
@@ -177,6 +183,44 @@
     routes: dict[str, Address] = {}  # where single relays are reached from here, by their names
 
 
+class ControlGroup(Closed):
+    """The control machines of one region among themselves: a small fleet that keeps a view."""
+
+    listen: Address  # datagrams and calls of the group's other machines
+    seeds: list[Address] = []  # machines of the group that are asked to let this one in
+    founders: list[Name] = []  # names of the machines that begin the group together
+    advertise: Address | None = None  # where the others reach this one, if not at `listen`
+    state: Name | None = None  # file that keeps what a restart must not forget
+
+
+class ControlLimits(Closed):
+    """What one control machine takes on."""
+
+    sessions: Count = 2000  # of relays and of other regions, at once
+    attaches: Positive = 200.0  # sessions opened a second
+
+
+class Control(Closed):
+    """One control machine of a region."""
+
+    name: Name
+    region: Name
+    listen: Address  # sessions of relays and of other regions' machines
+    key: Name  # file of the shared key, beside this one
+    group: ControlGroup
+    regions: dict[str, list[Address]]  # of the whole fleet: where their machines take sessions
+    zone: str = ""
+    console: Address | None = None
+    limits: ControlLimits = field(default_factory=ControlLimits)
+
+
+class ControlFile(Closed):
+    """The file of a control machine, TOML or JSON."""
+
+    control: Control
+    log: Literal["plain", "json"] = "plain"
+
+
 class Operator(Closed):
     """An operator's file, TOML or JSON."""
 
@@ -314,27 +358,103 @@
     places: list[tuple[Path, str | None]] = [
         (("listen",), o.listen), (("console",), o.console), (("discovery",), o.discovery)
     ]  # fmt: skip
-    if (fleet := o.fleet) is not None:
-        if o.name is None:
-            yield Fault((), "'name' is missing: the others of a fleet know a relay by it")
-        if not fleet.seeds and o.name not in fleet.founders:
-            yield Fault(("fleet",), "neither seeds to ask nor itself among the founders: it would stay alone")
-        texts: list[tuple[Path, str]] = [(("name",), o.name or ""), (("zone",), o.zone)]
-        texts += [(("fleet", "founders", n), founder) for n, founder in enumerate(fleet.founders)]
-        texts += [(("fleet", "advertise"), (fleet.advertise or fleet.listen).rpartition(":")[0])]
-        for where, said in texts:
-            if (length := len(said.encode())) > FLEET_NAME_MOST:
-                yield Fault(where, f"found {length} bytes, expected {FLEET_NAME_MOST} at most in a fleet")
-        places += [(("fleet", "listen"), fleet.listen), (("fleet", "advertise"), fleet.advertise)]
-        places += [(("fleet", "seeds", n), seed) for n, seed in enumerate(fleet.seeds)]
-        places += [(("fleet", "routes", name), route) for name, route in fleet.routes.items()]
-    for place, text in places:
-        if text is not None and not _port(text):
-            yield Fault(place, f"found {text!r}, expected host:port")
+    if o.fleet is not None:
+        yield from _fleet_faults(o, o.fleet)
+        places += [(("fleet", *where), text) for where, text in _fleet_addresses(o.fleet)]
+    yield from _address_faults(places)
     for n, server in enumerate(o.servers):
         if not _port(server.addr):
             yield Fault(("servers", n, "addr"), f"found {server.addr!r}, expected host:port")
 
 
+def _fleet_addresses(fleet: Fleet) -> Iterator[tuple[Path, str | None]]:
+    yield ("listen",), fleet.listen
+    yield ("advertise",), fleet.advertise
+    for n, seed in enumerate(fleet.seeds):
+        yield ("seeds", n), seed
+    for n, control in enumerate(fleet.control):
+        yield ("control", n), control
+    for name, route in fleet.routes.items():
+        yield ("routes", name), route
+
+
+def _fleet_faults(o: Operator, fleet: Fleet) -> Iterator[Fault]:
+    """What is wrong with the table `fleet`: of a relay that keeps a view, or of one that attaches."""
+    if o.name is None:
+        yield Fault((), "'name' is missing: the others of a fleet know a relay by it")
+    attaches = fleet.region is not None or bool(fleet.control)
+    if attaches:
+        yield from _attached_faults(fleet)
+    elif fleet.listen is None:
+        yield Fault(("fleet",), "'listen' is missing; a relay of a region has region and control instead")
+    elif not fleet.seeds and o.name not in fleet.founders:
+        yield Fault(("fleet",), "neither seeds to ask nor itself among the founders: it would stay alone")
+    texts: list[tuple[Path, str]] = [(("name",), o.name or ""), (("zone",), o.zone)]
+    texts += [(("fleet", "region"), fleet.region or "")]
+    texts += [(("fleet", "founders", n), founder) for n, founder in enumerate(fleet.founders)]
+    own = (o.listen if attaches else fleet.listen) or ""
+    texts += [(("fleet", "advertise"), (fleet.advertise or own).rpartition(":")[0])]
+    yield from _length_faults(texts)
+
+
+def _attached_faults(fleet: Fleet) -> Iterator[Fault]:
+    if fleet.region is None:
+        yield Fault(("fleet",), "'region' is missing: a relay attaches to the control machines of its region")
+    if not fleet.control:
+        yield Fault(("fleet",), "'control' is missing: the addresses of the region's control machines")
+    of_a_view = ("listen", "seeds", "founders", "state", "routes")
+    for name in of_a_view:
+        if getattr(fleet, name):
+            yield Fault(("fleet", name), "a relay attaches to control machines or keeps a view: not both")
+    yield from _twice_faults(("fleet", "control"), fleet.control)
+
+
+def control_faults(file: ControlFile) -> Iterator[Fault]:
+    """What only the whole of a control machine's file can tell."""
+    control, group = file.control, file.control.group
+    at: Path = ("control",)
+    if control.region not in control.regions:
+        yield Fault((*at, "regions"), f"the machine's own region {control.region!r} is missing")
+    for region, addresses in control.regions.items():
+        if not addresses:
+            yield Fault((*at, "regions", region), "found no address, expected those of its control machines")
+        yield from _twice_faults((*at, "regions", region), addresses)
+    if not group.seeds and control.name not in group.founders:
+        why = "neither seeds to ask nor itself among the founders: it would stay alone"
+        yield Fault((*at, "group"), why)
+    texts: list[tuple[Path, str]] = [((*at, "name"), control.name), ((*at, "zone"), control.zone)]
+    texts += [((*at, "region"), control.region)]
+    texts += [((*at, "regions", region), region) for region in control.regions]
+    texts += [((*at, "group", "founders", n), name) for n, name in enumerate(group.founders)]
+    texts += [((*at, "group", "advertise"), (group.advertise or group.listen).rpartition(":")[0])]
+    yield from _length_faults(texts)
+    places: list[tuple[Path, str | None]] = [
+        ((*at, "listen"), control.listen), ((*at, "console"), control.console),
+        ((*at, "group", "listen"), group.listen), ((*at, "group", "advertise"), group.advertise),
+    ]  # fmt: skip
+    places += [((*at, "group", "seeds", n), seed) for n, seed in enumerate(group.seeds)]
+    for region, addresses in control.regions.items():
+        places += [((*at, "regions", region, n), one) for n, one in enumerate(addresses)]
+    yield from _address_faults(places)
+
+
+def _length_faults(texts: list[tuple[Path, str]]) -> Iterator[Fault]:
+    for where, text in texts:
+        if (length := len(text.encode())) > FLEET_NAME_MOST:
+            yield Fault(where, f"found {length} bytes, expected {FLEET_NAME_MOST} at most in a fleet")
+
+
+def _twice_faults(where: Path, addresses: list[str]) -> Iterator[Fault]:
+    for n, address in enumerate(addresses):
+        if address in addresses[:n]:
+            yield Fault((*where, n), f"found {address!r} a second time, expected each address once")
+
+
+def _address_faults(places: list[tuple[Path, str | None]]) -> Iterator[Fault]:
+    for place, text in places:
+        if text is not None and not _port(text):
+            yield Fault(place, f"found {text!r}, expected host:port")
+
+
 def _port(address: str) -> bool:
     return int(address.rpartition(":")[2]) < 65536
