--- a/benchmarks/fleet_scale/__main__.py
+++ b/benchmarks/fleet_scale/__main__.py
@@ -7,6 +7,7 @@
 
 import argparse
 import asyncio
+import logging
 import sys
 from dataclasses import replace
 
@@ -73,6 +74,7 @@
 def main() -> int:
     """Run, print, and keep the result where that is asked for."""
     args = parse()
+    logging.basicConfig(level=logging.INFO, stream=sys.stderr, format="%(relativeCreated)7d ms %(message)s")
     try:
         wanted = request(args)
     except LayoutFaultError as err:
--- a/benchmarks/fleet_scale/configs.py
+++ b/benchmarks/fleet_scale/configs.py
@@ -33,21 +33,20 @@
     """The file of a control machine; `regions`: where it reaches the sessions of each."""
     group = layout.group(machine.region)
     data = {
-        "name": machine.name,
-        "console": str(machine.console),
         "log": "json",
         "control": {
+            "name": machine.name,
             "region": machine.region,
             "listen": str(machine.sessions),
+            "console": str(machine.console),
             "key": KEY_FILE,
             "regions": {region: [str(address) for address in known] for region, known in regions.items()},
-        },
-        "fleet": {
-            "listen": str(machine.group),
-            "key": KEY_FILE,
-            "founders": [other.name for other in group],
-            "seeds": [str(other.group) for other in group if other != machine],
-            "state": f"{machine.name}.state",
+            "group": {
+                "listen": str(machine.group),
+                "founders": [other.name for other in group],
+                "seeds": [str(other.group) for other in group if other != machine],
+                "state": f"{machine.name}.state",
+            },
         },
     }
     return _write(folder, machine.name, data)
--- /dev/null
+++ b/benchmarks/fleet_scale/host.py
@@ -0,0 +1,175 @@
+"""A process of many hollow relays: `python -m benchmarks.fleet_scale.host PLAN`.
+
+Commands come on stdin and records go to stdout (`protocol`). It ends when told to, or when stdin does.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+
+import msgspec
+import uvloop
+
+from benchmarks.fleet_scale import protocol as p
+from benchmarks.fleet_scale.hollow import RunningRelay
+from benchmarks.fleet_scale.looks import OwnerLook, RosterLook, ServiceLook, TrafficLook
+from benchmarks.machine import rss_kib
+from violetdoor.fleet.seal import read_key
+
+LOOK_EVERY = 0.1  # s: the precision of the times of records
+OWNERS_EVERY = 0.25  # s
+COUNTS_EVERY = 0.5  # s
+TRAFFIC_EVERY = 1.0  # s
+DRAIN_WITHIN = 5.0  # s that the reader of the records has to take the last ones
+LINE_MOST = 1 << 20  # bytes of a command: the names of a zone's relays
+
+
+class Host:
+    """Relays of one zone in one process."""
+
+    def __init__(self, plan: p.HostPlan, write: Callable[[p.Record], None]) -> None:
+        self.plan, self.write = plan, write
+        self.key = read_key(Path(plan.key_file))
+        self.random = Random(plan.seed)
+        self.known = {relay.name: relay for relay in plan.relays}
+        self.running: dict[str, RunningRelay] = {}
+        self.loop = asyncio.get_running_loop()
+        self.looking = 0.0  # s of the processor that the looks took
+        self.stopped = asyncio.Event()
+        self.service = ServiceLook(write)
+        self.rosters = RosterLook(plan, write)
+        self.owners = OwnerLook(plan, write, self.random)
+        self.traffic = TrafficLook(write, p.shared_clock())
+
+    # Commands.
+
+    def obey(self, command: p.Command) -> None:
+        """Do as the harness says."""
+        match command:
+            case p.Begin(over=over):
+                self.begin(over)
+            case p.StartRelays(names=names):
+                for name in names:
+                    self.start(name)
+            case p.EndRelays(names=names, how=how):
+                for name in names:
+                    self.end(name, how)
+            case p.RestartRelay(name=name, down=down):
+                self.end(name, "left")
+                self.loop.call_later(down, self.start, name)
+            case p.TakeAudit(number=number):
+                self.rosters.audit(p.shared_clock(), number, self.relays)
+            case p.StopHost():
+                self.stop()
+
+    def begin(self, over: float) -> None:
+        """Start all relays at moments of their own, and look at them from now on."""
+        for name in self.known:
+            self.loop.call_later(self.random.uniform(0.0, over), self.start, name)
+        self._repeat(LOOK_EVERY, lambda now: self.service.look(now, self.relays))
+        self._repeat(LOOK_EVERY, lambda now: self.rosters.look(now, self.relays))
+        self._repeat(OWNERS_EVERY, lambda now: self.owners.look(p.shared_clock, self.running))
+        self._repeat(COUNTS_EVERY, self._look_at_counts)
+        self._repeat(TRAFFIC_EVERY, lambda now: self.traffic.look(now, self.relays))
+        self._repeat(TRAFFIC_EVERY, self._look_at_cost)
+
+    def start(self, name: str) -> None:
+        """Start a relay as a new instance."""
+        if name in self.running or self.stopped.is_set():
+            return
+        relay = RunningRelay(self.known[name], self.plan, self.key)
+        self.running[name] = relay
+        self.write(p.RelayStarted(p.shared_clock(), relay.key))
+
+    def end(self, name: str, how: p.Ending) -> None:
+        """End a running relay."""
+        relay = self.running.pop(name, None)
+        if relay is None:
+            self.write(p.HostFault(p.shared_clock(), f"{name} does not run and can't be ended"))
+            return
+        now = p.shared_clock()
+        relay.end(how)
+        self.service.ended(now, relay)
+        self.write(p.RelayEnded(now, relay.key, how))
+
+    def stop(self) -> None:
+        """Write what is not written yet."""
+        now = p.shared_clock()
+        self.owners.finish()
+        self.traffic.finish(now)
+        for relay in self.relays:
+            self.service.ended(now, relay)
+            relay.end("closed")
+        self.running.clear()
+        self.stopped.set()
+
+    # Looks.
+
+    @property
+    def relays(self) -> list[RunningRelay]:
+        return list(self.running.values())
+
+    def _repeat(self, every: float, look: Callable[[float], None]) -> None:
+        def run() -> None:
+            if self.stopped.is_set():
+                return
+            before = time.thread_time()
+            look(p.shared_clock())
+            self.looking += time.thread_time() - before
+            self.loop.call_later(every, run)
+
+        run()
+
+    def _look_at_counts(self, now: float) -> None:
+        self.rosters.look_at_counts(now, self.relays)
+        acting = sum(relay.may_act(now) for relay in self.relays)
+        in_roster = sum(relay.in_own_roster for relay in self.relays)
+        self.write(p.Census(now, len(self.running), in_roster, acting))
+
+    def _look_at_cost(self, now: float) -> None:
+        self.write(p.Cost(now, time.process_time(), self.looking, rss_kib(), len(self.running)))
+
+
+async def serve(plan: p.HostPlan) -> None:
+    """Read commands until told to stop, or until nobody is there to say so."""
+    loop = asyncio.get_running_loop()
+    reader = asyncio.StreamReader(limit=LINE_MOST)
+    await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
+    transport, protocol = await loop.connect_write_pipe(asyncio.streams.FlowControlMixin, sys.stdout)
+    writer = asyncio.StreamWriter(transport, protocol, None, loop)
+    host = Host(plan, lambda record: writer.write(p.encode(record) + b"\n"))
+    loop.set_exception_handler(
+        lambda _, context: host.write(p.HostFault(p.shared_clock(), f"{plan.name}: {_described(context)}"))
+    )
+    while not host.stopped.is_set() and (line := await reader.readline()):
+        host.obey(p.commands.decode(line))
+    async with asyncio.timeout(DRAIN_WITHIN):
+        await writer.drain()
+        writer.close()
+        await writer.wait_closed()
+
+
+def _described(context: dict[str, object]) -> str:
+    return f"{context.get('message')}: {context.get('exception')!r}"
+
+
+def main() -> int:
+    """Host the relays of a plan."""
+    try:
+        plan = p.host_plans.decode(Path(sys.argv[1]).read_bytes())
+    except (IndexError, OSError, msgspec.MsgspecError) as err:
+        print(f"a host needs the file of its plan: {err}", file=sys.stderr)
+        return 2
+    gc.freeze()
+    uvloop.run(serve(plan))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/benchmarks/fleet_scale/looks.py
@@ -0,0 +1,229 @@
+"""What a host records of its relays: each class looks at one thing, and writes records where it has changed."""
+
+from __future__ import annotations
+
+import math
+from collections import defaultdict
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
+from random import Random
+
+import xxhash
+
+from benchmarks.fleet_scale import protocol as p
+from benchmarks.fleet_scale.hollow import RunningRelay
+from benchmarks.fleet_scale.traffic import Counts, model_wire
+from violetdoor.control.messages import RelayKey, Version
+from violetdoor.control.roster import Roster, relay_key
+
+Write = Callable[[p.Record], None]
+Relays = Sequence[RunningRelay]
+
+ASKED_AT_RANDOM = 0.02  # part of the relays that are asked at each look for a key at random
+FLUSH_EVERY = 2.0  # s after which ownership that goes on is written: a host may be killed at any time
+
+
+class ServiceLook:
+    """When relays come into service, and when they are without a lease from then on."""
+
+    def __init__(self, write: Write) -> None:
+        self._write = write
+        self._acted: dict[RelayKey, float] = {}  # when each relay in service was last seen with a lease
+
+    def look(self, now: float, relays: Relays) -> None:
+        """Note those that have come into service, and gaps that are over."""
+        for relay in relays:
+            if not relay.may_act(now):
+                continue
+            if not relay.in_service:
+                if not relay.in_own_roster:
+                    continue
+                relay.in_service = True
+                self._write(p.RelayInService(now, relay.key))
+            elif relay.gap:
+                self._write(p.LeaseGap(self._acted[relay.key], now, relay.key))
+            relay.gap = False
+            self._acted[relay.key] = now
+        for relay in relays:
+            relay.gap = relay.in_service and self._acted[relay.key] < now
+
+    def ended(self, now: float, relay: RunningRelay) -> None:
+        """A relay ends: a gap does, too."""
+        last = self._acted.pop(relay.key, now)
+        if relay.gap:
+            self._write(p.LeaseGap(last, now, relay.key))
+
+
+class RosterLook:
+    """What the host's relays know: the newest roster, and the oldest roster and counts."""
+
+    def __init__(self, plan: p.HostPlan, write: Write) -> None:
+        self._region, self._write = plan.region, write
+        self._others = tuple(region for region in plan.regions if region != plan.region)
+        self._newest: Version | None = None
+        self._members: dict[RelayKey, None] = {}
+        self._floor: Version | None = None
+        self._count_floors: dict[str, Version | None] = {}
+
+    def look(self, now: float, relays: Relays) -> None:
+        """Note a newer roster, and a newer oldest one."""
+        rosters = [relay.roster for relay in relays if relay.in_service]
+        known = [roster for roster in rosters if roster is not None]
+        if not known:
+            return
+        newest = max(known, key=lambda roster: roster.version)
+        if self._newest is None or newest.version > self._newest:
+            self._note_members(now, newest)
+        floor = min(roster.version for roster in known) if len(known) == len(rosters) else None
+        if floor != self._floor:
+            self._floor = floor
+            self._write(p.RosterFloor(now, self._region, floor))
+
+    def _note_members(self, now: float, roster: Roster) -> None:
+        self._newest = roster.version
+        members = dict.fromkeys(relay_key(relay) for relay in roster.members.values())
+        joined = tuple(key for key in members if key not in self._members)
+        gone = tuple(key for key in self._members if key not in members)
+        self._members = members
+        self._write(p.Members(now, self._region, roster.version, digest(roster), joined, gone))
+
+    def look_at_counts(self, now: float, relays: Relays) -> None:
+        """Note newer oldest counts of other regions."""
+        serving = [relay for relay in relays if relay.in_service]
+        if not serving:
+            return
+        for region in self._others:
+            floor = _oldest(relay.count_version(region) for relay in serving)
+            if floor != self._count_floors.get(region):
+                self._count_floors[region] = floor
+                self._write(p.CountFloor(now, region, floor))
+
+    def audit(self, now: float, number: int, relays: Relays) -> None:
+        """Write where all relays stand."""
+        rosters: dict[tuple[Version | None, int], int] = defaultdict(int)
+        counts: dict[tuple[str, Version | None, int], int] = defaultdict(int)
+        for relay in relays:
+            roster = relay.roster
+            rosters[(None, 0) if roster is None else (roster.version, digest(roster))] += 1
+            for region in self._others:
+                counts[region, relay.count_version(region), relay.counted(region)] += 1
+        self._write(
+            p.Audit(
+                now, number,
+                tuple(p.Standing(self._region, version, seen, n) for (version, seen), n in rosters.items()),
+                tuple(p.Standing(region, version, seen, n) for (region, version, seen), n in counts.items()),
+            )
+        )  # fmt: skip
+
+
+def _oldest(versions: Iterable[Version | None]) -> Version | None:
+    oldest: Version | None = None
+    for version in versions:
+        if version is None:
+            return None
+        if oldest is None or version < oldest:
+            oldest = version
+    return oldest
+
+
+def digest(roster: Roster) -> int:
+    """Of the members, whatever their order."""
+    names = sorted(f"{relay.name}\0{relay.instance}" for relay in roster.members.values())
+    return xxhash.xxh3_64_intdigest("\n".join(names).encode())
+
+
+@dataclass(slots=True)
+class _Held:
+    begin: float
+    end: float
+
+
+class OwnerLook:
+    """Which relays say that they own a key."""
+
+    def __init__(self, plan: p.HostPlan, write: Write, random: Random) -> None:
+        self._keys, self._write, self._random = plan.keys, write, random
+        self._held: dict[tuple[str, RelayKey], _Held] = {}
+
+    def look(self, now: Callable[[], float], relays: dict[str, RunningRelay]) -> None:
+        """Ask those that rank high for a key, and a few relays for one key at random."""
+        seen: set[tuple[str, RelayKey]] = set()
+        for watch in self._keys:
+            for name in watch.relays:
+                if (relay := relays.get(name)) is not None:
+                    self._ask(watch.key, relay, now(), seen)
+        if self._keys:
+            for relay in self._random.sample(list(relays.values()), math.ceil(len(relays) * ASKED_AT_RANDOM)):
+                self._ask(self._random.choice(self._keys).key, relay, now(), seen)
+        for place in [place for place in self._held if place not in seen]:
+            self._flush(place)
+            del self._held[place]
+
+    def _ask(self, key: str, relay: RunningRelay, now: float, seen: set[tuple[str, RelayKey]]) -> None:
+        if not relay.owns(key, now):
+            return
+        place = key, relay.key
+        seen.add(place)
+        held = self._held.setdefault(place, _Held(now, now))
+        held.end = now
+        if held.end - held.begin > FLUSH_EVERY:
+            self._flush(place)
+            held.begin = now
+
+    def _flush(self, place: tuple[str, RelayKey]) -> None:
+        held, (key, relay) = self._held[place], place
+        self._write(p.Ownership(held.begin, held.end, key, relay))
+
+    def finish(self) -> None:
+        """Write what goes on."""
+        for place in self._held:
+            self._flush(place)
+
+
+@dataclass(frozen=True, slots=True)
+class _Seen:
+    """What the counters of a connection were at a look."""
+
+    connection: object
+    kernel: Counts
+    payload: Counts
+
+
+class TrafficLook:
+    """Bytes of all relays between two looks, by the kernel's counts."""
+
+    def __init__(self, write: Write, now: float) -> None:
+        self._write, self._at = write, now
+        self._seen: dict[RelayKey, _Seen] = {}
+        self._kernel_wire = self._model_wire = 0
+
+    def look(self, now: float, relays: Relays) -> None:
+        """Note what was sent and received since the last look."""
+        seconds, self._at = now - self._at, now
+        wire, most, steady, joining, joining_wire = 0, 0, 0, 0, 0
+        seen: dict[RelayKey, _Seen] = {}
+        for relay in relays:
+            kernel = relay.kernel_counts()
+            if kernel is None:
+                continue
+            here = seen[relay.key] = _Seen(relay.connection, kernel, relay.payload_counts())
+            before = self._seen.get(relay.key)
+            if before is None or before.connection is not here.connection:
+                joining += 1
+                joining_wire += kernel.wire
+                continue
+            took = self._between(before, here)
+            wire, most, steady = wire + took, max(most, took), steady + 1
+        self._seen = seen
+        self._write(p.Traffic(now, seconds, steady, wire, most / seconds, joining, joining_wire))
+
+    def _between(self, before: _Seen, here: _Seen) -> int:
+        wire = here.kernel.since(before.kernel).wire
+        payload = here.payload.since(before.payload)
+        self._kernel_wire += wire
+        self._model_wire += model_wire(payload)
+        return wire
+
+    def finish(self, now: float) -> None:
+        """Write how the model of the headers compares with the kernel's counts."""
+        self._write(p.TrafficModel(now, self._kernel_wire, self._model_wire))
