--- a/benchmarks/fleet_scale/configs.py
+++ b/benchmarks/fleet_scale/configs.py
@@ -63,8 +63,8 @@
 
 
 def write_unattached(folder: Path, relay: RealRelay) -> Path:
-    """The file of the same relay without a control plane."""
-    return _write(folder, f"{relay.name}-unattached", _relay(relay))
+    """The file of a relay without a control plane."""
+    return _write(folder, relay.name, _relay(relay))
 
 
 def _relay(relay: RealRelay) -> dict[str, Any]:
--- a/benchmarks/fleet_scale/fleet.py
+++ b/benchmarks/fleet_scale/fleet.py
@@ -106,8 +106,9 @@
         )
 
     async def start_real(self) -> None:
-        """Start the real relays."""
+        """Start the real relays, and one without a control plane to see what that takes."""
         await self._some_at_once(self._start_real(relay) for relay in self.layout.real)
+        await self._start_unattached()
 
     async def _start_real(self, relay: RealRelay) -> None:
         path = configs.write_real(self.folder, relay, self.layout)
@@ -115,12 +116,18 @@
         self.real[relay.name] = process
         await self._answers(process, relay.console)
 
-    async def start_unattached(self, relay: RealRelay) -> None:
-        """Start a real relay without a control plane, to see what that takes."""
+    async def _start_unattached(self) -> None:
+        relay = self.layout.unattached
         path = configs.write_unattached(self.folder, relay)
-        process = await self.processes.start(relay.name, ["violetdoor", "--config", str(path)], self.folder)
-        self.real[relay.name] = process
-        await self._answers(process, relay.console)
+        self.real[relay.name] = await self.processes.start(
+            relay.name, ["violetdoor", "--config", str(path)], self.folder
+        )
+        await self._answers(self.real[relay.name], relay.console)
+
+    @property
+    def unattached(self) -> str:
+        """The name of the relay without a control plane."""
+        return self.layout.unattached.name
 
     @staticmethod
     async def _some_at_once(starts: Iterable[Any]) -> None:
--- a/benchmarks/fleet_scale/layout.py
+++ b/benchmarks/fleet_scale/layout.py
@@ -119,6 +119,7 @@
     regions: tuple[str, ...]
     machines: tuple[ControlMachine, ...]
     zones: tuple[Zone, ...]
+    unattached: RealRelay  # without a control plane, to compare with
 
     def group(self, region: str) -> tuple[ControlMachine, ...]:
         """The control machines of a region."""
@@ -153,7 +154,8 @@
     )
     for number, (region, relays, real_here) in enumerate(numbers):
         zones.append(_zone(f"zone-{number:02d}", region, relays, real_here, network, ports))
-    return Layout(size, regions, machines, tuple(zones))
+    unattached = RealRelay("unattached", "", "", ports.take(), ports.take())
+    return Layout(size, regions, machines, tuple(zones), unattached)
 
 
 def _regions_of_zones(size: Size, regions: Sequence[str]) -> list[str]:
--- a/benchmarks/fleet_scale/run.py
+++ b/benchmarks/fleet_scale/run.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import tempfile
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 
 from benchmarks.fleet_scale.fleet import Fleet, FleetFaultError
@@ -15,6 +15,8 @@
 from benchmarks.fleet_scale.verdict import RestFigures, Verdict, rest_figures
 
 SMALL = Size(700, 7, 2, 4)  # what a relay takes is compared with a fleet of this size
+SMALL_REAL = 2
+SMALL_START = 8.0  # s over which its relays are started
 KEYS = 200
 CUT_LEAST = 2  # regions, where one can be cut off
 
@@ -87,17 +89,17 @@
 async def _small_at_rest(request: Request) -> RestFigures:
     """What a relay takes at rest in a small fleet."""
     network = Network()
-    layout = lay_out(SMALL, network, real=0)
+    layout = lay_out(SMALL, network, SMALL_REAL)
     try:
         with tempfile.TemporaryDirectory(prefix="violetdoor-fleet-scale-") as folder:
             async with Processes() as processes:
                 fleet = _fleet(layout, network, Path(folder), processes, request.seed, None)
-                line = TimeLine(fleet, request.schedule)
+                line = TimeLine(fleet, replace(request.schedule, start=SMALL_START))
                 try:
                     await line.rest_alone()
                 finally:
                     await fleet.close()
-                return rest_figures(fleet.history, SMALL.relays)
+                return rest_figures(fleet)
     finally:
         network.close()
 
--- a/benchmarks/fleet_scale/timeline.py
+++ b/benchmarks/fleet_scale/timeline.py
@@ -12,6 +12,7 @@
 from benchmarks.fleet_scale import protocol as p
 from benchmarks.fleet_scale.fleet import Fleet, FleetFaultError
 from benchmarks.fleet_scale.layout import ControlMachine, Zone
+from benchmarks.fleet_scale.measures import NEVER, Agreement, agreement
 from benchmarks.fleet_scale.records import Window
 from violetdoor.control.messages import RelayKey
 
@@ -24,6 +25,7 @@
 RESTARTS_LEAST = 4  # also where so few relays would have fewer at that pace
 DOWN_FOR = 0.2  # s that a restarted relay is away
 ENDINGS: tuple[p.Ending, ...] = ("closed", "silent", "left")
+AUDIT_EVERY = 0.5  # s
 FIRST_WITHIN = 90.0  # s until all relays are in service after the start
 MAJORITY_AFTER_TWO = 5  # machines of a group that goes on with two of them dead
 
@@ -41,17 +43,17 @@
     known: float  # from the last end to the cut
     cut: float
     second_kill: float  # from the first control machine's death to the second one's
-    after_heal: float = 10.0
+    agree: float = 15.0  # from the healing, in which all are to know one roster again
 
     @property
     def shortest(self) -> float:
         """What the phases take together, but for the start."""
         ends = len(ENDINGS) * self.single_ends * self.spacing
-        return self.settle + self.rest + self.churn + ends + self.known + self.cut + self.after_heal
+        return self.settle + self.rest + self.churn + ends + self.known + self.cut + self.agree
 
 
-FULL = Schedule(30.0, 6.0, 15.0, 25.0, 14, 0.25, 15.0, 60.0, 20.0)
-QUICK = Schedule(3.0, 3.0, 4.0, 4.0, 3, 0.3, 3.0, 8.0, 3.0)
+FULL = Schedule(30.0, 5.0, 15.0, 25.0, 14, 0.25, 15.0, 60.0, 20.0)
+QUICK = Schedule(2.0, 3.5, 4.0, 4.0, 3, 0.2, 5.0, 6.0, 3.0)
 
 
 @dataclass
@@ -62,14 +64,12 @@
     rack: tuple[RelayKey, ...] = ()
     zone: tuple[RelayKey, ...] = ()
     cut_at: float = 0.0
-    healed_at: float = 0.0
+    agreement: Agreement | None = None  # after the healing
+    agreed_after: float = NEVER  # s from the healing
     first_kill: Window | None = None
     second_kill: Window | None = None
     killed_region: str = ""
     cut_region: str = ""
-    audit_at_rest: int = 0
-    audit_after_heal: int = 0
-    healed_after: float = 0.0  # s from the healing to the audit
     steps: list[str] = field(default_factory=list)
 
 
@@ -112,7 +112,6 @@
         await self.begin()
         async with self._phase("rest"):
             await asyncio.sleep(self.schedule.rest)
-        self.played.audit_at_rest = await self.fleet.audit()
         async with self._phase("churn"):
             await self.churn()
         async with self._phase("ends"):
@@ -137,8 +136,7 @@
         begin = p.shared_clock()
         await self.fleet.start_controls()
         log.info("control machines run, %.1f s", p.shared_clock() - begin)
-        await self.fleet.start_hosts(self.schedule.start)
-        await self.fleet.start_real()
+        await asyncio.gather(self.fleet.start_hosts(self.schedule.start), self.fleet.start_real())
         log.info("hosts and real relays run, %.1f s", p.shared_clock() - begin)
         if not await self.fleet.wait_for(self.fleet.all_begun, FIRST_WITHIN):
             raise FleetFaultError(
@@ -162,10 +160,8 @@
         chosen = self.random.sample(names, count)
         for name in chosen:
             self.fleet.restart_relay(name, DOWN_FOR)
-            await asyncio.sleep(1.0 / rate)
-        self._step(
-            f"{count} relays restarted one by one, {rate:.2f} a second over {self.schedule.churn:g} s."
-        )
+            await asyncio.sleep(self.schedule.churn / count)
+        self._step(f"{count} relays restarted one by one, over {self.schedule.churn:g} s.")
 
     async def single_ends(self) -> None:
         """Relays that die with their process, die with their machine, or leave, in all regions in turn."""
@@ -224,12 +220,17 @@
         return Window(begin, p.shared_clock())
 
     async def heal(self) -> None:
-        """Connect the region again, and ask a while later where all relays stand."""
+        """Connect the region again, and ask until all relays stand at one roster."""
         self.fleet.links.heal()
-        self.played.healed_at = p.shared_clock()
-        await asyncio.sleep(self.schedule.after_heal)
-        self.played.healed_after = p.shared_clock() - self.played.healed_at
-        self.played.audit_after_heal = await self.fleet.audit()
+        healed_at = p.shared_clock()
+        while True:
+            await asyncio.sleep(AUDIT_EVERY)
+            stands = agreement(self.fleet.history, await self.fleet.audit())
+            if stands.apart == 0 or p.shared_clock() - healed_at > self.schedule.agree:
+                break
+        self.played.agreement = stands
+        self.played.agreed_after = stands.last_at - healed_at if stands.apart == 0 else NEVER
         self._step(
-            f"Healed; all relays were asked for their rosters and counts {self.schedule.after_heal:g} s later."
+            f"Healed; all relays were asked for their rosters and counts every {AUDIT_EVERY:g} s, for "
+            f"{self.schedule.agree:g} s at the most."
         )
--- a/benchmarks/fleet_scale/verdict.py
+++ b/benchmarks/fleet_scale/verdict.py
@@ -8,7 +8,7 @@
 from benchmarks.fleet_scale import measures as m
 from benchmarks.fleet_scale.bounds import COUNT, KILOBYTES_A_SECOND, MEBIBYTES, PART, SECONDS, Bound, Unit
 from benchmarks.fleet_scale.fleet import Fleet
-from benchmarks.fleet_scale.records import History, Window
+from benchmarks.fleet_scale.records import Window
 from benchmarks.fleet_scale.timeline import PACE, Played
 from violetdoor.control.messages import RelayKey
 
@@ -20,6 +20,7 @@
 LEFT_IN_REGION, LEFT_EVERYWHERE = 1.0, 5.0
 MANY_IN_REGION = 10.0
 IN_SERVICE = 3.0
+AGREED_WITHIN = 10.0
 GAP_AFTER_TWO = 6.0
 CONTROL_CPU, CONTROL_MEMORY = 1.0, 512.0
 LOOK_SLACK = 0.5  # s by which a record's time may be later than what it tells of
@@ -33,12 +34,18 @@
     relays: int
     bytes_a_second: float
     hollow: m.HollowCost
+    real: m.ProcessCost
 
 
-def rest_figures(history: History, relays: int) -> RestFigures:
-    """Of a history with a phase of rest."""
-    rest = history.windows["rest"]
-    return RestFigures(relays, m.relay_traffic(history, rest).mean, m.hollow_cost(history, rest))
+def rest_figures(fleet: Fleet) -> RestFigures:
+    """Of a fleet that had a phase of rest."""
+    history, rest = fleet.history, fleet.history.windows["rest"]
+    return RestFigures(
+        fleet.layout.size.relays,
+        m.relay_traffic(history, rest).mean,
+        m.hollow_cost(history, rest),
+        m.process_cost(history, [relay.name for relay in fleet.layout.real], rest),
+    )
 
 
 class Verdict:
@@ -84,9 +91,14 @@
     def _real_relays(self, rest: Window) -> Iterable[Bound]:
         names = [relay.name for relay in self.fleet.layout.real]
         cost = m.process_cost(self.history, names, rest)
+        alone = m.process_cost(self.history, [self.fleet.unattached], rest)
         yield _of_relay(
             "memory of a real relay, all its parts", MEBIBYTES, RELAY_MEMORY, cost.rss_most_mib, len(names)
         )
+        added = cost.rss_most_mib - alone.rss_most_mib
+        yield _of_relay(
+            "memory that the attachment adds to a real relay", MEBIBYTES, RELAY_MEMORY, added, len(names)
+        )
         yield _of_relay(
             "processor of a real relay, all its parts", PART, RELAY_CPU, cost.cpu_most, len(names)
         )
@@ -94,7 +106,7 @@
     def _growth(self) -> Iterable[Bound]:
         if self.small is None:
             return
-        large = rest_figures(self.history, self.fleet.layout.size.relays)
+        large = rest_figures(self.fleet)
         span = f"from {self.small.relays:,} to {large.relays:,} relays"
         yield Bound(
             f"growth of a relay's bytes {span}", PART, GROWTH,
@@ -107,8 +119,8 @@
             large.hollow.cpu / self.small.hollow.cpu - 1.0,
         )
         yield Bound(
-            f"growth of a relay's memory {span}", PART, GROWTH,
-            large.hollow.rss_mib / self.small.hollow.rss_mib - 1.0,
+            f"growth of a real relay's memory {span}", PART, GROWTH,
+            large.real.rss_most_mib / self.small.real.rss_most_mib - 1.0,
         )  # fmt: skip
 
     # Ends.
@@ -179,12 +191,13 @@
     # A cut.
 
     def _cut(self) -> Iterable[Bound]:
-        if not self.played.healed_at:
+        stands = self.played.agreement
+        if stands is None:
             return
         history, region = self.history, self.played.cut_region
-        stands = m.agreement(history, self.played.audit_after_heal)
-        title = f"regions of which not all relays know one roster, {self.played.healed_after:.0f} s after the healing"
-        yield Bound(title, COUNT, 0, stands.apart, stands.relays)
+        title = "all relays know one roster of each region after the healing"
+        note = f"{stands.apart} regions apart" if stands.apart else ""
+        yield Bound(title, SECONDS, AGREED_WITHIN, self.played.agreed_after, stands.relays, note=note)
         cut = history.windows["cut"]
         gaps = m.lease_gaps(history, cut, frozenset({region}))
         yield Bound(
