--- a/tests/test_clients_leave.py
+++ b/tests/test_clients_leave.py
@@ -280,7 +280,7 @@
                 self.gone.set_result(None)
                 return i.Result.OK
 
-        session = Sudden(around, LineSocket(ours))  # type: ignore[arg-type]
+        session = Sudden(around, LineSocket(ours))
         opening: Any = SimpleNamespace(
             cls="feed", time_left=300.0, tenant="t", key=1, load=None, group=None, repeat=False, again=False
         )
@@ -301,8 +301,47 @@
             async def try_server(self, *_: Any) -> i.Result:
                 raise AssertionError("it began")
 
-        session = Watched(around, LineSocket(ours))  # type: ignore[arg-type]
+        session = Watched(around, LineSocket(ours))
         session.gone.set_result(None)
         assert await session.attempt(None, i.Send(1, "s0", 0.0)) is i.Result.CANCELLED  # type: ignore[arg-type]
 
     uvloop.run(test())
+
+
+def tcp_pair() -> tuple[socket.socket, socket.socket]:
+    """Two ends of one TCP connection."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        near = socket.create_connection(listener.getsockname())
+        far = listener.accept()[0]
+    near.setblocking(False)
+    return near, far
+
+
+@pytest.mark.parametrize("lines", LINES)
+@pytest.mark.parametrize("how", ["end", "reset", "half"])
+def test_the_last_look_is_right_before_the_first_byte(how: str, lines: str) -> None:
+    """Its server's connection comes up late, the client leaves in that moment, and nobody was awake between."""
+
+    async def test() -> None:
+        ours, client = tcp_pair()
+        up, server = tcp_pair()
+        core = controller(1)
+        around = SimpleNamespace(core=core, counts=Counters())
+        session = Session(around, LineSocket(ours))
+        client.sendall(LINES[lines])
+        if how == "half":
+            client.shutdown(socket.SHUT_WR)
+        else:
+            if how == "reset":
+                client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            client.close()
+        choice = i.Send(1, "s0", core.now() + 1000)
+        opening: Any = None  # not even looked at
+        assert await session.exchange(opening, LineSocket(up), choice, False) is i.Result.CANCELLED
+        server.setblocking(False)
+        with pytest.raises(BlockingIOError):
+            server.recv(1)
+        for sock in (ours, client, up, server):
+            sock.close()
+
+    uvloop.run(test())
--- a/tests/test_control_connection.py
+++ b/tests/test_control_connection.py
@@ -17,6 +17,7 @@
 from standins import PATIENCE, until
 
 from violetdoor.control import connection as c
+from violetdoor.control import frames
 from violetdoor.control import messages as m
 from violetdoor.fleet.messages import Entry, Stamp
 from violetdoor.fleet.seal import SEAL, Seal
@@ -36,16 +37,16 @@
     uvloop.run(bounded())
 
 
-def pair(client_key: bytes = KEY) -> tuple[c.FrameCodec, c.FrameCodec]:
+def pair(client_key: bytes = KEY) -> tuple[frames.FrameCodec, frames.FrameCodec]:
     """Both sides of a connection whose nonces were exchanged."""
-    client = c.FrameCodec(Seal(client_key), c.Side.CLIENT)
-    server = c.FrameCodec(Seal(KEY), c.Side.SERVER)
+    client = frames.FrameCodec(Seal(client_key), frames.Side.CLIENT)
+    server = frames.FrameCodec(Seal(KEY), frames.Side.SERVER)
     assert not list(client.feed(server.nonce)) and not list(server.feed(client.nonce))
     return client, server
 
 
-def why(codec: c.FrameCodec, data: bytes) -> c.Closed:
-    with pytest.raises(c.FrameError) as error:
+def why(codec: frames.FrameCodec, data: bytes) -> frames.Closed:
+    with pytest.raises(frames.FrameError) as error:
         list(codec.feed(data))
     return error.value.why
 
@@ -67,7 +68,7 @@
     frame = bytearray(client.frame(b"a heartbeat") + client.frame(b"and another"))
     frame[at % len(frame)] ^= change
     got: list[bytes] = []
-    with contextlib.suppress(c.FrameError):
+    with contextlib.suppress(frames.FrameError):
         got.extend(server.feed(bytes(frame)))  # a longer length than before: it waits for more
     assert got in ([], [b"a heartbeat"]) and (got == [] or at % len(frame) >= len(frame) // 2)
 
@@ -76,21 +77,21 @@
     client, server = pair()
     first, second = client.frame(b"first"), client.frame(b"second")
     assert list(server.feed(first)) == [b"first"]
-    assert why(server, first) is c.Closed.SEAL  # repeated
+    assert why(server, first) is frames.Closed.SEAL  # repeated
     client, server = pair()
     first, second = client.frame(b"first"), client.frame(b"second")
-    assert why(server, second + first) is c.Closed.SEAL  # reordered, or the first one left out
-    assert why(pair()[1], first) is c.Closed.SEAL  # of another connection
+    assert why(server, second + first) is frames.Closed.SEAL  # reordered, or the first one left out
+    assert why(pair()[1], first) is frames.Closed.SEAL  # of another connection
     client, server = pair()
-    assert why(client, client.frame(b"mine")) is c.Closed.SEAL  # sent back where it came from
+    assert why(client, client.frame(b"mine")) is frames.Closed.SEAL  # sent back where it came from
     client, server = pair(OTHER_KEY)
-    assert why(server, client.frame(b"foreign")) is c.Closed.SEAL
+    assert why(server, client.frame(b"foreign")) is frames.Closed.SEAL
 
 
 @pytest.mark.parametrize("length", [0, SEAL, m.FRAME_MOST + 1, 0xFFFFFFFF])
 def test_a_length_that_no_frame_has_ends_it_before_anything_is_kept(length: int) -> None:
     _, server = pair()
-    assert why(server, length.to_bytes(4, "big")) is c.Closed.LENGTH
+    assert why(server, length.to_bytes(4, "big")) is frames.Closed.LENGTH
 
 
 def test_the_longest_frame_passes_and_a_longer_one_is_not_made() -> None:
@@ -108,7 +109,7 @@
     opened_by: list[Any] = field(default_factory=list)
     messages: list[Any] = field(default_factory=list)
     queued: list[int] = field(default_factory=list)
-    ended: list[c.Closed] = field(default_factory=list)
+    ended: list[frames.Closed] = field(default_factory=list)
     failures: list[bool] = field(default_factory=list)
     fails: bool = False
 
@@ -123,7 +124,7 @@
     def backlog(self, connection: Any, queued: int) -> None:
         self.queued.append(queued)
 
-    def closed(self, connection: Any, why: c.Closed) -> None:
+    def closed(self, connection: Any, why: frames.Closed) -> None:
         self.ended.append(why)
 
     def failed(self, refused: bool) -> None:
@@ -142,7 +143,9 @@
     async def accept(self) -> None:
         while True:
             sock, _ = await asyncio.get_running_loop().sock_accept(self.sock)
-            connection = c.Connection(Seal(KEY), c.Side.SERVER, m.session_requests, self.heard, self.counts)
+            connection = c.Connection(
+                Seal(KEY), frames.Side.SERVER, m.session_requests, self.heard, self.counts
+            )
             self.made.append(connection)
             await c.accepted(sock, connection)
 
@@ -178,10 +181,10 @@
             (connection,) = server.heard.opened_by
             connection.send(m.GoAway(1.0))
             connection.close()
-            assert server.heard.ended == [c.Closed.HERE]
+            assert server.heard.ended == [frames.Closed.HERE]
             link.send(m.Leave())  # unread at the other side: the last word comes over all the same
             await until(lambda: heard.ended)
-            assert heard.messages == [m.GoAway(1.0)] and heard.ended == [c.Closed.PEER]
+            assert heard.messages == [m.GoAway(1.0)] and heard.ended == [frames.Closed.PEER]
             connection.send(m.GoAway(2.0))  # to nobody
 
     run(test)
@@ -207,7 +210,7 @@
                     assert len(await reader.read()) <= 16
                 writer.close()
                 await until(lambda: server.counts["dropped_length"] + server.counts["dropped_seal"] == n + 2)  # noqa: B023
-            codec = c.FrameCodec(Seal(KEY), c.Side.CLIENT)
+            codec = frames.FrameCodec(Seal(KEY), frames.Side.CLIENT)
             reader, writer = await asyncio.open_connection(*server.address)
             assert not list(codec.feed(await reader.readexactly(16)))
             writer.write(codec.nonce + codec.frame(b"\x93 no message"))
@@ -229,7 +232,7 @@
             reader, writer = await asyncio.open_connection(*server.address)
             with contextlib.suppress(ConnectionError):
                 assert len(await reader.read()) == 16
-            assert server.heard.ended == [c.Closed.HANDSHAKE] and not server.heard.opened_by
+            assert server.heard.ended == [frames.Closed.HANDSHAKE] and not server.heard.opened_by
             writer.close()
 
     run(test)
@@ -240,7 +243,7 @@
 
     async def test() -> None:
         async with listening() as server:
-            codec, sock = c.FrameCodec(Seal(KEY), c.Side.CLIENT), socket.socket()
+            codec, sock = frames.FrameCodec(Seal(KEY), frames.Side.CLIENT), socket.socket()
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
             await asyncio.to_thread(sock.connect, server.address)
             assert not list(codec.feed(await asyncio.to_thread(sock.recv, 16)))
@@ -253,7 +256,7 @@
                 await asyncio.sleep(0)
             assert server.heard.queued[-1] > 0
             await until(lambda: server.heard.ended)
-            assert server.heard.ended == [c.Closed.STALLED]
+            assert server.heard.ended == [frames.Closed.STALLED]
             sock.close()
 
     run(test)
@@ -269,7 +272,7 @@
             await until(lambda: heard.opened_by)
             for number in range(1000):
                 link.send(m.Heartbeat(number, None))
-            assert heard.ended == [c.Closed.QUEUE]
+            assert heard.ended == [frames.Closed.QUEUE]
             await until(lambda: server.heard.ended or server.counts)
 
     run(test)
@@ -284,7 +287,7 @@
             server.heard.fails = True
             link.send(m.Leave())
             await until(lambda: heard.ended)
-            assert server.heard.ended == [c.Closed.FAULT] and server.counts["faults"] == 1
+            assert server.heard.ended == [frames.Closed.FAULT] and server.counts["faults"] == 1
 
     run(test)
 
--- a/tests/test_control_process.py
+++ b/tests/test_control_process.py
@@ -21,7 +21,7 @@
 from test_line import front
 
 from violetdoor.config import ConfigError, from_operator
-from violetdoor.control import connection as c
+from violetdoor.control import frames
 from violetdoor.control import messages as m
 from violetdoor.control.config import read
 from violetdoor.fleet.seal import Seal
@@ -279,7 +279,7 @@
 
     recorded = b""
     for key in (KEY, b"another key of the same length.."):
-        codec = c.FrameCodec(Seal(key), c.Side.CLIENT)
+        codec = frames.FrameCodec(Seal(key), frames.Side.CLIENT)
         reader, writer = await asyncio.open_connection(host, int(port))
         assert not list(codec.feed(await reader.readexactly(16)))
         said = codec.nonce + codec.frame(m.encode(m.Heartbeat(1, None)))
--- a/violetdoor/control/client.py
+++ b/violetdoor/control/client.py
@@ -21,16 +21,16 @@
     Report,
     Send,
 )
-from violetdoor.control.connection import Closed, Connection, Dialer
+from violetdoor.control.connection import Connection, Dialer
+from violetdoor.control.frames import Closed
 from violetdoor.control.messages import SessionAnswer, session_answers
 from violetdoor.fleet.endpoint import boot_clock
 from violetdoor.fleet.seal import Seal
 
 log = logging.getLogger("violetdoor.control")
 
-WAKE_MOST = (
-    60.0  # s of one timer: the clock of decisions goes on while the machine sleeps, the loop's does not
-)
+WAKE_MOST = 60.0  # s of one timer: the loop's clock stops while the machine sleeps, the decisions' does not
+TIMER_SLACK = 0.001  # s by which a timer is set late: the loop's have a resolution of 1 ms
 
 
 class ControlClient:
@@ -134,7 +134,9 @@
     # What the attachment wants.
 
     def _wake(self) -> None:
-        self.attachment.wake(self.clock())
+        now = self.clock()
+        if now >= self.attachment.due:
+            self.attachment.wake(now)
         self._step()
 
     def _step(self) -> None:
@@ -153,7 +155,7 @@
             return
         if self._timer is not None:
             self._timer.cancel()
-        wait = min(WAKE_MOST, max(0.0, self.attachment.due - self.clock()))
+        wait = min(WAKE_MOST, max(0.0, self.attachment.due - self.clock()) + TIMER_SLACK)
         self._timer = asyncio.get_running_loop().call_later(wait, self._wake)
 
     def _carry_out(self, action: Connect | Send | Disconnect | LookedUp | Report) -> None:
--- a/violetdoor/control/config.py
+++ b/violetdoor/control/config.py
@@ -1,4 +1,4 @@
-"""The configuration of the control plane: a relay's attachment, and a control machine's own file."""
+"""The configuration of a control machine: its file, read once into the few values that it uses."""
 
 from __future__ import annotations
 
@@ -17,17 +17,6 @@
 SHOWN_MOST = 3  # faults that stand in the one line of an error
 
 
-@dataclass(slots=True, frozen=True)
-class AttachmentOptions:
-    """What an operator's file says of a relay's attachment to its region's control machines."""
-
-    region: str
-    controls: tuple[Address, ...]
-    key: Path
-    advertise: Address | None  # where others reach this relay, if not where it listens for clients
-    wait: float  # s that a start waits for the first lease before clients are taken
-
-
 @dataclass(slots=True, frozen=True)
 class ControlConfig:
     """What one control machine runs by."""
--- a/violetdoor/control/server.py
+++ b/violetdoor/control/server.py
@@ -32,7 +32,8 @@
     SendRegion,
     SendSession,
 )
-from violetdoor.control.connection import Closed, Connection, Dialer, Side, accepted
+from violetdoor.control.connection import Connection, Dialer, accepted
+from violetdoor.control.frames import Closed, Side
 from violetdoor.control.group import GroupState, group_state
 from violetdoor.control.machine import Machine
 from violetdoor.control.messages import (
@@ -53,9 +54,8 @@
 CHANNEL = "control"  # of the group's streams
 ACCEPT_PAUSE = 0.05  # s until the next try where no descriptor was free
 HANDSHAKES_MOST = 256  # connections without a sealed frame; one more takes the place of the oldest
-WAKE_MOST = (
-    60.0  # s of one timer: the clock of decisions goes on while the machine sleeps, the loop's does not
-)
+WAKE_MOST = 60.0  # s of one timer: the loop's clock stops while the machine sleeps, the decisions' does not
+TIMER_SLACK = 0.001  # s by which a timer is set late: the loop's have a resolution of 1 ms
 LEAVE_WITHIN = 3.0  # s at an orderly end in which relays attach to the other machines
 LEAVE_LOOK = 0.05  # s between two looks whether all have
 
@@ -256,7 +256,9 @@
 
     def _wake(self) -> None:
         self._look_at_group()
-        self.machine.wake(self.clock())
+        now = self.clock()
+        if now >= self.machine.due:
+            self.machine.wake(now)
         self._step()
 
     def _step(self) -> None:
@@ -272,7 +274,7 @@
             self._acting = False
         if self._timer is not None:
             self._timer.cancel()
-        wait = min(WAKE_MOST, max(0.0, self.machine.due - self.clock()))
+        wait = min(WAKE_MOST, max(0.0, self.machine.due - self.clock()) + TIMER_SLACK)
         self._timer = asyncio.get_running_loop().call_later(wait, self._wake)
 
     def _carry_out(self, action: Action) -> None:
--- a/violetdoor/control/service.py
+++ b/violetdoor/control/service.py
@@ -17,7 +17,7 @@
 from violetdoor.console.server import Answer
 from violetdoor.control.attachment import AttachmentPlan, AttachmentState, LookedUp
 from violetdoor.control.client import ControlClient
-from violetdoor.control.config import AttachmentOptions
+from violetdoor.control.options import AttachmentOptions
 from violetdoor.control.status import attachment_status
 from violetdoor.fleet.seal import KeyFileError, read_key
 from violetdoor.maintenance.sharing import SharedServers
--- a/violetdoor/fleet/endpoint.py
+++ b/violetdoor/fleet/endpoint.py
@@ -22,16 +22,24 @@
 
 from violetdoor import events
 from violetdoor.fleet import messages as m
-from violetdoor.fleet.node import Address, Call, MemberState, Node, Plan
-from violetdoor.fleet.seal import SEAL, Seal
+from violetdoor.fleet.frames import (
+    LENGTH_BYTES,
+    NONCE_BYTES,
+    StreamReader,
+    frame_length,
+    opened_frame,
+    sealed_frame,
+)
+from violetdoor.fleet.node import Actions, Address, Call, Event, MemberState, Node, Plan
+from violetdoor.fleet.seal import Seal
 from violetdoor.fleet.state_file import StateFile
-from violetdoor.fleet.streams import MessageHandler
-from violetdoor.fleet.view import MAX_MEMBERS, View
+from violetdoor.fleet.status import FleetStatus
+from violetdoor.fleet.streams import MessageHandler, OpenedCall
+from violetdoor.fleet.view import MAX_MEMBERS, Peer, View
 from violetdoor.net.sockets import connect, end, listen
 
 log = logging.getLogger("violetdoor.fleet")
 
-NONCE_BYTES, LENGTH_BYTES = 16, 4  # bytes of a side's number, and of a message's length before it
 MAX_DATAGRAMS_PER_TURN = 32  # datagrams read in one round of the loop: others have their turn
 MAX_INBOUND_CALLS = 64  # calls that are served at a time
 MAX_INBOUND_STREAMS = MAX_MEMBERS + 64  # that come in: one of each member, and some of lives that are over
@@ -68,7 +76,7 @@
         self.tasks: set[asyncio.Task[None]] = set()
         self.inbound_calls = self.inbound_streams = 0
         # What waits until that is kept on which it rests.
-        self.deferred: list[tuple[list[tuple[Address, m.Packet]], list[Call]]] = []
+        self.deferred: list[Actions] = []
         self.writing = False
         self.open = False
         self.joined = asyncio.Event()
@@ -139,6 +147,11 @@
         """The view that this relay stands at."""
         return self.node.view if self.node.state is MemberState.MEMBER else None
 
+    @property
+    def me(self) -> Peer:
+        """The life of this relay."""
+        return self.node.me
+
     def may_act(self) -> bool:
         """Whether this relay's lease holds at this moment."""
         return self.node.may_act(self.clock())
@@ -161,11 +174,10 @@
         self.node.map.merge(entries, time.time() * 1000, size)
         self._flush_actions()
 
-    def force(self) -> str:
-        """Go on without a majority; why not, or nothing."""
-        why = self.node.force(self.clock())
+    def force(self) -> None:
+        """Go on without a majority. Raises ForceRefusedError where that may not be."""
+        self.node.force(self.clock())
         self._flush_actions()
-        return why
 
     def leave(self) -> None:
         """Go by this relay's own word."""
@@ -180,30 +192,9 @@
                 await self.joined.wait()
         return self.joined.is_set()
 
-    def status(self) -> dict[str, Any]:
+    def status(self) -> FleetStatus:
         """All that operators may want to know."""
-        node, now = self.node, self.clock()
-        view, detector = node.view, node.detector
-        members = [] if view is None else [
-            {
-                "name": p.name, "address": f"{p.host}:{p.port}", "zone": p.zone, "since": p.since,
-                "health": "self" if p.name == self.plan.name else _health(node, p.name),
-                "heard_s": _age(now, watched.heard_at) if (watched := detector.watched.get(p.name)) else 0.0,
-            }
-            for p in view.members
-        ]  # fmt: skip
-        return {
-            "name": self.plan.name, "standing": node.state.value,
-            "view": None if view is None else str(view.id), "digest": None if view is None else view.digest,
-            "size": 0 if view is None else len(view.members),
-            "majority": 0 if view is None else view.majority,
-            "may_act": node.may_act(now),
-            "lease_left_s": 0.0 if node.lease is None else round(max(0.0, node.lease.expires_at - now), 3),
-            "clear": node.prior_leases_expired(now), "own_health": detector.health_score, "members": members,
-            "pending": sorted(node.join_requests),
-            "shared": len(node.map.entries), "map": f"{node.map.digest:016x}",
-            "counts": dict(self.counts) | {f"dropped {k}": v for k, v in node.dropped.items() if v},
-        }  # fmt: skip
+        return self.node.status(self.counts, self.clock())
 
     # The end.
 
@@ -261,19 +252,17 @@
             return
         self.on_step()
         node = self.node
-        out = node.datagrams, node.calls
-        node.datagrams, node.calls = [], []
+        actions = node.take_actions()
         if self.state_file is not None and (self.writing or node.durable_state is not self.written_state):
             # A promise is kept before it is given: guards against a restart that forgets it.
-            self.deferred.append(out)
+            self.deferred.append(actions)
             if not self.writing:
                 self.writing = True
                 self._spawn(self._write_state())
         else:
-            self._send_out(*out)
-        told, node.events = node.events, []
-        for event in told:
-            self._emit(event.name, event.values)
+            self._send_out(actions)
+        for event in actions.events:
+            self._emit(event)
         if (active_relays := node.active_relays()) != self.active_relays:
             self.active_relays = active_relays
             self.on_active_relays(active_relays)
@@ -286,7 +275,8 @@
         wait = min(60.0, max(0.0, node.due - self.clock()))
         self.timer = self.loop.call_later(wait, self._wake)
 
-    def _emit(self, name: str, values: dict[str, Any]) -> None:
+    def _emit(self, event: Event) -> None:
+        name, values = event.name, event.values
         if name == events.FLEET_REFUSED:
             if values["why"] == self.last_refusal:
                 return
@@ -323,12 +313,12 @@
             return
         finally:
             self.writing = False
-        held, self.deferred = self.deferred, []
-        for out in held:
-            self._send_out(*out)
+        deferred, self.deferred = self.deferred, []
+        for actions in deferred:
+            self._send_out(actions)
 
-    def _send_out(self, datagrams: list[tuple[Address, m.Packet]], calls: list[Call]) -> None:
-        for address, packet in datagrams:
+    def _send_out(self, actions: Actions) -> None:
+        for address, packet in actions.datagrams:
             data = self.seal.put(m.encode(packet))
             if len(data) > m.MAX_DATAGRAM:
                 self.counts["too_long"] += 1
@@ -339,7 +329,7 @@
                 self.counts["bytes_out"] += len(data)
             except OSError:  # as if it was lost
                 self.counts["unsent"] += 1
-        for call in calls:
+        for call in actions.calls:
             self._spawn(self._call(call))
 
     # Datagrams.
@@ -381,7 +371,7 @@
                 answer = await self._exchange(call)
         except ConnectionRefusedError:
             refused = True
-        except (OSError, EOFError, ValueError):  # msgspec's faults are such, too
+        except (OSError, EOFError, ValueError):  # FrameError, and msgspec's
             pass
         if self.open:
             self.counts["calls_failed"] += answer is None
@@ -391,24 +381,23 @@
     async def _exchange(self, call: Call) -> m.Answer:
         sock = await connect(self._routed(call.address), call.within)
         try:
-            _, answer = await self.begin_call(sock, call.request)
-            return answer
+            return (await self.begin_call(sock, call.request)).answer
         finally:
             end(sock)
 
-    async def begin_call(self, sock: socket.socket, request: m.Request) -> tuple[bytes, m.Answer]:
-        """Say a request on a fresh connection; its two numbers, which bind what follows, and the answer."""
+    async def begin_call(self, sock: socket.socket, request: m.Request) -> OpenedCall:
+        """Send a request on a fresh connection. Raises OSError, EOFError or ValueError where that fails."""
         mine = os.urandom(NONCE_BYTES)
         await self.loop.sock_sendall(sock, mine)
         both = mine + await self._read_exactly(sock, NONCE_BYTES)
         await self._send_frame(sock, m.encode(request), b"asked" + both)
-        return both, m.answers.decode(await self._read_frame(sock, b"answered" + both))
+        return OpenedCall(both, m.answers.decode(await self._read_frame(sock, b"answered" + both)))
 
     def _routed(self, address: Address) -> Address:
         """Where an address is reached from here: that of a relay that has a route."""
         known = self.node.view.members if self.node.view is not None else ()
         for peer in known:
-            if (peer.host, peer.port) == address and peer.name in self.routes:
+            if peer.address == address and peer.name in self.routes:
                 return self.routes[peer.name]
         return address
 
@@ -447,7 +436,7 @@
                     await self._send_frame(sock, m.encode(answer), b"answered" + both)
             if isinstance(request, m.OpenStream) and heard is not None:
                 await self._stream(sock, request, both, heard)
-        except ValueError:  # msgspec's faults are such, too
+        except ValueError:  # FrameError, and msgspec's
             self.counts["dropped_call"] += 1
         except (OSError, EOFError):
             self.counts["calls_broke"] += 1
@@ -461,41 +450,21 @@
         """Hand a stream's messages on until it ends."""
         self.inbound_calls -= 1  # it is no caller that goes soon: streams are bounded by the members
         self.inbound_streams += 1
-        buffer, count = bytearray(), 0
+        reader = StreamReader(self.seal, both)
         try:
             while data := await self.loop.sock_recv(sock, READ_CHUNK):
-                buffer += data
-                start = 0
-                while len(buffer) - start >= LENGTH_BYTES:
-                    length = int.from_bytes(buffer[start : start + LENGTH_BYTES], "big")
-                    if not SEAL < length <= m.MAX_FRAME:
-                        raise ValueError("a length that no message has")
-                    if len(buffer) - start < LENGTH_BYTES + length:
-                        break
-                    sealed = memoryview(buffer)[start + LENGTH_BYTES : start + LENGTH_BYTES + length]
-                    body = self.seal.off(sealed, b"stream" + both + count.to_bytes(8, "big"))
-                    sealed.release()
-                    if body is None:
-                        raise ValueError("a seal that is not this fleet's")
-                    start, count = start + LENGTH_BYTES + length, count + 1
+                for body in reader.feed(data):
                     heard(opening.name, opening.instance, body)
-                del buffer[:start]
         finally:
             self.inbound_calls += 1
             self.inbound_streams -= 1
 
     async def _send_frame(self, sock: socket.socket, body: bytes, context: bytes) -> None:
-        data = self.seal.put(body, context)
-        await self.loop.sock_sendall(sock, len(data).to_bytes(LENGTH_BYTES, "big") + data)
+        await self.loop.sock_sendall(sock, sealed_frame(self.seal, body, context))
 
     async def _read_frame(self, sock: socket.socket, context: bytes) -> bytes:
-        length = int.from_bytes(await self._read_exactly(sock, LENGTH_BYTES), "big")
-        if not SEAL < length <= m.MAX_FRAME:
-            raise ValueError("a length that no message has")
-        body = self.seal.off(await self._read_exactly(sock, length), context)
-        if body is None:
-            raise ValueError("a seal that is not this fleet's")
-        return body
+        length = frame_length(await self._read_exactly(sock, LENGTH_BYTES))
+        return opened_frame(self.seal, await self._read_exactly(sock, length), context)
 
     async def _read_exactly(self, sock: socket.socket, count: int) -> bytes:
         data = bytearray()
@@ -505,12 +474,3 @@
                 raise EOFError
             data += got
         return bytes(data)
-
-
-def _health(node: Node, name: str) -> str:
-    watched = node.detector.watched.get(name)
-    return "ended" if name in node.ended_members else "unknown" if watched is None else watched.health.value
-
-
-def _age(now: float, at: float) -> float | None:
-    return None if at == float("-inf") else round(now - at, 3)
--- a/violetdoor/fleet/swim.py
+++ b/violetdoor/fleet/swim.py
@@ -4,7 +4,7 @@
 answer others are asked to probe it, and it is asked over TCP. Who answers nobody is suspected; a
 suspicion ends when its member contradicts it with a higher incarnation, or in death when its time is up.
 That time shortens with each member that suspects independently; probes slow down while this relay's own
-health is in doubt. Death is this relay's own finding and is not told on: the agreement asks the others
+health is in doubt. Death is this relay's own finding and is not gossiped: the agreement asks the others
 for theirs.
 """
 
@@ -14,6 +14,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 from random import Random
+from typing import NamedTuple
 
 from violetdoor.fleet import messages as m
 from violetdoor.fleet.seal import spread
@@ -28,8 +29,8 @@
 MAX_CONFIRMATIONS = 3  # independent suspicions from which on it is shortest
 WORST_HEALTH = 8  # of the health's score: all times are multiplied by one more
 WITNESSES = 5  # members, on average, that probe one at once of which they hear that it is suspected
-RUMOR_RETRANSMITS = 4  # times the spread that a rumor is told on
-DEAD_PROBE_EVERY = 4  # each so many periods a member held for dead is probed too: partitions heal
+RUMOR_RETRANSMITS = 4  # times the spread that a rumor is sent on
+DEAD_PROBE_EVERY = 4  # each so many periods a dead member is probed, too: partitions heal
 
 
 class Health(Enum):
@@ -73,6 +74,27 @@
     until: float
 
 
+class Outgoing(NamedTuple):
+    """A message to a member."""
+
+    name: str
+    message: m.Message
+
+
+class TcpProbe(NamedTuple):
+    """A member that is to be asked over TCP, and the number of the probe that this belongs to."""
+
+    name: str
+    seq: int
+
+
+class DeathProof(NamedTuple):
+    """A life that another member knows to be over for certain."""
+
+    name: str
+    instance: int
+
+
 class Detector:
     """Watches the members of the present view. Times in s; `out` holds what is to be sent: to whom, what."""
 
@@ -82,7 +104,7 @@
         self.watched: dict[str, MonitoredMember] = {}
         # Of these; kept apart so that a step costs as much as there is in doubt.
         self.suspected: dict[str, MonitoredMember] = {}
-        self.dead_members: dict[str, MonitoredMember] = {}  # held for dead
+        self.dead_members: dict[str, MonitoredMember] = {}  # taken for dead
         self.order: list[str] = []  # to be probed next, last first
         self.seq, self.probes = 0, list[Probe]()
         self.relayed_probes: dict[int, RelayedProbe] = {}
@@ -90,10 +112,10 @@
         self.next_period = now + random.random() * PROBE_PERIOD
         self.periods = 0
         self.woken = now
-        self.rumors: dict[str, tuple[m.Rumor, int]] = {}  # by member, with how often it is still told
-        self.out: list[tuple[str, m.Message]] = []
-        self.tcp_probes: list[tuple[str, int]] = []  # members to be asked over TCP, with the probe's number
-        self.death_proofs: list[tuple[str, int]] = []  # lives that others know to be over for sure
+        self.rumors: dict[str, tuple[m.Rumor, int]] = {}  # by member, with how often it is still to be sent
+        self.out: list[Outgoing] = []
+        self.tcp_probes: list[TcpProbe] = []
+        self.death_proofs: list[DeathProof] = []
         self.changed = False  # somebody's health has changed since this was last looked at
 
     # Members.
@@ -119,17 +141,17 @@
         self.probes = [p for p in self.probes if known.get(p.name) is self.watched.get(p.name)]
 
     def alive(self, name: str) -> bool:
-        """Whether a member is held for alive: not suspected, not dead."""
+        """Whether a member is taken for alive: neither suspected nor dead."""
         watched = self.watched.get(name)
         return name == self.me.name or (watched is not None and watched.health is Health.ALIVE)
 
     @property
     def living(self) -> int:
-        """How many are held for alive, this relay with them."""
+        """How many members are taken for alive, this relay included."""
         return 1 + len(self.watched) - len(self.dead_members) - len(self.suspected)
 
     def dead(self) -> list[str]:
-        """The members held for dead."""
+        """The members that are taken for dead."""
         return list(self.dead_members)
 
     def _set_health(self, w: MonitoredMember, health: Health, now: float) -> None:
@@ -185,7 +207,7 @@
         for seq, relayed in list(self.relayed_probes.items()):
             if now >= relayed.until:
                 del self.relayed_probes[seq]
-                self.out.append((relayed.origin, m.Nack(relayed.seq)))
+                self.out.append(Outgoing(relayed.origin, m.Nack(relayed.seq)))
         for probe in self.probes:
             if not probe.asked and now >= probe.began + self._patience:
                 self._ask_others(probe)
@@ -207,12 +229,12 @@
             self._send_probe(self.order.pop(), now)
         if self.periods % DEAD_PROBE_EVERY == 0 and (gone := self.dead()):
             self.seq += 1
-            self.out.append((self.random.choice(gone), m.Ping(self.seq)))
+            self.out.append(Outgoing(self.random.choice(gone), m.Ping(self.seq)))
 
     def _send_probe(self, name: str, now: float) -> None:
         self.seq += 1
         self.probes.append(Probe(self.seq, name, now))
-        self.out.append((name, m.Ping(self.seq, self.watched[name].peer.instance)))
+        self.out.append(Outgoing(name, m.Ping(self.seq, self.watched[name].peer.instance)))
 
     def probe_now(self, name: str, now: float) -> None:
         """Probe a member out of turn: somebody holds it for dead."""
@@ -224,8 +246,8 @@
         others = [n for n, w in self.watched.items() if n != probe.name and w.health is Health.ALIVE]
         helpers = self.random.sample(others, min(INDIRECT_PROBES, len(others)))
         probe.nacks, probe.helped = len(helpers), bool(helpers)
-        self.out += [(name, m.PingFor(probe.seq, probe.name)) for name in helpers]
-        self.tcp_probes.append((probe.name, probe.seq))
+        self.out += [Outgoing(name, m.PingFor(probe.seq, probe.name)) for name in helpers]
+        self.tcp_probes.append(TcpProbe(probe.name, probe.seq))
 
     def _expire_probes(self, now: float) -> None:
         """The period is over: what has had time enough and no answer is suspected."""
@@ -254,7 +276,7 @@
             self._alive(w, incarnation)
 
     def ping(self, name: str, ping: m.Ping) -> None:
-        self.out.append((name, m.Ack(ping.seq, self.me.instance)))
+        self.out.append(Outgoing(name, m.Ack(ping.seq, self.me.instance)))
 
     def ack(self, name: str, ack: m.Ack, now: float) -> None:
         """An answer; of another life than the one that is watched it proves that this one is over."""
@@ -271,10 +293,10 @@
                 self._health(-1)
                 return
         if (relayed := self.relayed_probes.pop(ack.seq, None)) is not None:
-            self.out.append((relayed.origin, m.Ack(relayed.seq, 0)))
+            self.out.append(Outgoing(relayed.origin, m.Ack(relayed.seq, 0)))
 
     def confirm_dead(self, name: str, now: float, proved: bool = False) -> None:
-        """A member's life is over for sure: its relay has begun another, and its silence is no fault here."""
+        """A member's life is certainly over; its silence puts nobody's own health in doubt."""
         self.probes = [p for p in self.probes if p.name != name]
         if (w := self.watched.get(name)) is not None:
             if w.health is not Health.DEAD:
@@ -296,7 +318,7 @@
         self.relayed_probes[self.seq] = RelayedProbe(
             origin, asked.seq, now + INDIRECT_PROBE_AFTER * PROBE_PERIOD
         )
-        self.out.append((asked.name, m.Ping(self.seq, w.peer.instance)))
+        self.out.append(Outgoing(asked.name, m.Ping(self.seq, w.peer.instance)))
 
     def nack(self, nack: m.Nack) -> None:
         for probe in self.probes:
@@ -316,7 +338,7 @@
         if w is None or w.peer.instance != rumor.instance:
             return
         if rumor.state == m.CONFIRMED_DEAD:
-            self.death_proofs.append((rumor.name, rumor.instance))
+            self.death_proofs.append(DeathProof(rumor.name, rumor.instance))
         elif rumor.state == m.ALIVE:
             if rumor.incarnation > w.incarnation:
                 self._alive(w, rumor.incarnation)
@@ -350,7 +372,7 @@
         self.rumors[rumor.name] = rumor, RUMOR_RETRANSMITS * spread(len(self.watched) + 1)
 
     def pick_rumors(self, to: str) -> tuple[m.Rumor, ...]:
-        """What to tell a member with the next packet: first what is said of itself, then the least told.
+        """The rumors of the next packet: first what is said of its receiver, then those sent least often.
 
         A member that is doubted hears of it from whoever speaks to it, so that it can contradict (Lifeguard's
         buddy system).
--- a/violetdoor/fleet/view.py
+++ b/violetdoor/fleet/view.py
@@ -14,12 +14,14 @@
 MAX_JOINS = 48  # taken in by one change, if their names leave room
 EPOCH_RANDOM_BITS = 16
 
+Address = tuple[str, int]  # host and port, as the socket API has them
+
 
 class Peer(Struct, frozen=True, array_like=True):
     """One life of one relay as a member.
 
     `instance` is drawn anew each time it enters, so that what was said of an earlier life means nothing
-    to it; `process` is the same as long as its program runs; `since` is the place in its line of the
+    to it; `process` is the same as long as its program runs; `since` is the place in its epoch of the
     first view that has it.
     """
 
@@ -31,6 +33,11 @@
     process: int = 0
     since: int = 0
 
+    @property
+    def address(self) -> Address:
+        """Where other relays reach it."""
+        return self.host, self.port
+
 
 class Change(Struct, frozen=True, array_like=True):
     """From one view to the next: members by their place in the view before, and who enters."""
@@ -44,10 +51,11 @@
 
 
 class ViewId(Struct, frozen=True, array_like=True, order=True):
-    """The number of a view: the line that it belongs to, and its place in that line.
+    """The number of a view: the epoch that it belongs to, and its place in that epoch.
 
-    A line begins where a fleet is founded, or is founded anew after the loss of a majority. Its value is the
-    founder's Unix time in ms with random bits behind, so that later lines are higher where clocks are sound.
+    An epoch begins where a fleet is founded, or is founded anew after the loss of a majority. Its value is
+    the founder's Unix time in ms with random bits behind, so that later epochs are higher where clocks are
+    sound.
     """
 
     epoch: int
@@ -93,7 +101,7 @@
         return known is not None and known.instance == peer.instance
 
     def after(self, change: Change) -> View:
-        """The next view of this line."""
+        """The next view of this epoch."""
         gone = set(change.dead) | set(change.left)
         kept = {p.name: p for n, p in enumerate(self.members) if n not in gone}
         seq = self.seq + 1
--- a/violetdoor/fronts/nats/session.py
+++ b/violetdoor/fronts/nats/session.py
@@ -11,7 +11,8 @@
 import logging
 import socket
 from collections.abc import Awaitable
-from typing import TYPE_CHECKING, TypeVar
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any, Protocol, TypeVar
 
 import orjson
 
@@ -22,10 +23,16 @@
 from violetdoor.fronts.nats.link import DeniedError, Link
 from violetdoor.fronts.nats.state import Journal, Subscription
 from violetdoor.net.outbox import Outbox, SlowReaderError
-from violetdoor.net.sockets import connect
+from violetdoor.net.sockets import LEFT_LOOK, connect, ended
 
 if TYPE_CHECKING:
-    from violetdoor.fronts.nats.front import NatsFront, Who
+    from violetdoor.core import Controller
+    from violetdoor.net.acceptor import Acceptor
+    from violetdoor.net.counters import Counters
+    from violetdoor.net.discovery import Directory
+    from violetdoor.net.figures import Figures
+    from violetdoor.overload.gate import Gate
+    from violetdoor.settings import Nats
 
 log = logging.getLogger("violetdoor.nats")
 
@@ -40,10 +47,46 @@
 PASSED_ON = ("permissions violation", "invalid subject", "maximum subscriptions")  # errors that close nothing
 
 
+@dataclass(slots=True, frozen=True)
+class Who:
+    """What a client counts as."""
+
+    tenant: str
+    cls: str
+    group: int | None = None
+    key: int | None = None
+
+
+class Front(Protocol):
+    """What a session uses of the front that took its client in; `NatsFront` is one."""
+
+    core: Controller
+    directory: Directory
+    counts: Counters
+    figures: Figures
+    acceptor: Acceptor
+    gate: Gate | None
+    deadlines: dict[str, float]  # ms, by class
+
+    @property
+    def options(self) -> Nats:
+        """What an operator may set."""
+
+    @property
+    def looks_ahead(self) -> bool:
+        """Whether the rules read the first operation behind a CONNECT."""
+
+    def info(self, number: int) -> bytes:
+        """The INFO line for the client of this number."""
+
+    def who(self, connect: dict[str, Any], first: Frame | None, sock: socket.socket) -> Who:
+        """What a client is. Raises DeniedError where it is not let in."""
+
+
 class Session:
     """The life of one NATS client."""
 
-    def __init__(self, front: NatsFront, sock: socket.socket, number: int) -> None:
+    def __init__(self, front: Front, sock: socket.socket, number: int) -> None:
         self.front, self.core, self.options, self.counts = front, front.core, front.options, front.counts
         self.number, self.loop = number, asyncio.get_running_loop()
         self.sock = sock
@@ -189,6 +232,8 @@
                     return None, "Placement Timeout" if late else "Maximum Connections Exceeded"
                 case i.Send():
                     link, result = await self.attempt(choice)
+                    if result is i.Result.CANCELLED:
+                        self.end(LEFT)
                     self.counts[f"nats_attempt_{result.value}"] += 1
                     if link is not None:
                         self.counts["nats_placed"] += 1
@@ -200,8 +245,20 @@
                         ticket.left()
                     ticket.ended(result)
 
+    @property
+    def left(self) -> bool:
+        """Whether the client has ended; its end may still stand behind operations that were not read."""
+        return self.gone.done() or ended(self.sock)
+
+    def end(self, error: str) -> None:
+        """The client's part is over, with this text of an -ERR or LEFT."""
+        if not self.gone.done():
+            self.gone.set_result(error)
+
     async def attempt(self, choice: i.Send) -> tuple[Link | None, i.Result]:
         """Try one server: it is up once it has answered a PING after the client's CONNECT."""
+        if self.left:
+            return None, i.Result.CANCELLED
         left = (choice.give_up - self.core.now()) / 1000
         address = self.front.directory.addresses.get(choice.server)
         if address is None or left <= 0:
@@ -217,7 +274,7 @@
                 return None, i.Result.UNREACHABLE
             left = (choice.give_up - self.core.now()) / 1000
             async with asyncio.timeout(left):
-                result = await self.unless_gone(link.greet(self.upstream_connect))
+                result = await self.unless_gone(link.greet(self.upstream_connect, lambda: self.left))
             if link.info.get("ldm"):
                 self.core.drains(choice.server)
             if link.denied:
@@ -417,7 +474,8 @@
         frame: Frame | None = first
         try:
             while frame is not None:
-                await self.may_operate(frame)
+                if not await self.may_operate(frame):
+                    break
                 self.operate(frame)
                 await self.hold_back()
                 frame = await self.next_frame()
@@ -431,8 +489,7 @@
             log.exception("a client's operation failed")
             last = "Internal Error"
         finally:
-            if not self.gone.done():
-                self.gone.set_result(last)
+            self.end(last)
 
     async def next_frame(self) -> Frame | None:
         """Read on; a client that says nothing is asked for a sign of life and then given up."""
@@ -448,10 +505,19 @@
         finally:
             waker.cancel()
 
-    async def may_operate(self, frame: Frame) -> None:
-        """Wait for a server where the operation needs one; what only changes the session's state does not."""
+    async def may_operate(self, frame: Frame) -> bool:
+        """Wait for a server where the operation needs one; what only changes the session's state does not.
+
+        False if the client ends meanwhile. Guards against an end that stands behind operations that are not
+        read while there is no server: the session would be placed for nobody.
+        """
         while self.link is None and (frame.op in ("PUB", "HPUB") or self.pings_owed >= PINGS_OWED_MOST):
-            await self.linked.wait()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(LEFT_LOOK):
+                    await self.linked.wait()
+            if self.link is None and ended(self.sock):
+                return False
+        return True
 
     async def hold_back(self) -> None:
         """Let the client wait while much of what it published is unconfirmed or unwritten."""
