--- /dev/null
+++ b/tests/test_control_search.py
@@ -0,0 +1,106 @@
+"""The search over faults of control groups finds each bug that is put in, and none without one."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+import pytest
+
+from violetdoor.control import attachment, history, machine, sequencer, sessions
+from violetdoor.control.messages import HeartbeatAck
+from violetdoor.faults import control_explore
+
+Patch = Callable[[pytest.MonkeyPatch], None]
+
+
+def settled_without_waiting(patch: pytest.MonkeyPatch) -> None:
+    """A roster counts as settled once it is acknowledged, whatever leases still hold."""
+    patch.setattr(sequencer, "LEASE_OVER", 0.0)
+
+
+def settled_without_all_acknowledgements(patch: pytest.MonkeyPatch) -> None:
+    """A roster settles by the leader's own word."""
+
+    def alone(self: sequencer.Sequencer, now: float) -> None:
+        version = self.replica.version
+        if version is not None and (not self._marks or version > self._marks[-1].version):
+            self._marks.append(sequencer.Mark(version, now))
+
+    patch.setattr(sequencer.Sequencer, "_mark", alone)
+
+
+def granted_without_a_lease_of_ones_own(patch: pytest.MonkeyPatch) -> None:
+    """A control machine grants leases also when it has none in its group."""
+    patch.setattr(sessions.Sessions, "may_act", lambda self, now: self.group is not None)
+    patch.setattr(machine.Machine, "_look_at_lease", lambda self, now: None)
+
+
+def lease_from_when_its_answer_comes(patch: pytest.MonkeyPatch) -> None:
+    """A relay counts its lease from the answer, not from its heartbeat."""
+    acknowledged = attachment.Attachment._acknowledged
+
+    def late(self: attachment.Attachment, ack: HeartbeatAck, now: float) -> None:
+        self._beats = dict.fromkeys(self._beats, now)
+        acknowledged(self, ack, now)
+
+    patch.setattr(attachment.Attachment, "_acknowledged", late)
+
+
+def those_that_have_gone_are_forgotten(patch: pytest.MonkeyPatch) -> None:
+    """A relay acts on what it owns in the newest roster alone."""
+
+    def newest(self: history.History, key: str) -> bool:
+        return self.roster is not None and self.roster.owner(key) == self.me.name
+
+    patch.setattr(history.History, "_beats_all", newest)
+
+
+def newcomers_act_at_once(patch: pytest.MonkeyPatch) -> None:
+    """A relay acts before the roster in which it joined has settled."""
+
+    def wins(self: history.History, key: str) -> bool:
+        return self.is_member and self._beats_all(key)
+
+    patch.setattr(history.History, "wins", wins)
+
+
+def granted_under_a_roster_not_sent(patch: pytest.MonkeyPatch) -> None:
+    """A session that is behind gets a lease all the same."""
+
+    def grants(self: sessions.Sessions, session: sessions.Session, now: float) -> bool:
+        return session.relay is not None and self.may_act(now)
+
+    patch.setattr(sessions.Sessions, "_grants", grants)
+
+
+BUGS: list[tuple[Patch, Iterable[int]]] = [  # and the runs that each is looked for in
+    (settled_without_waiting, range(3)),
+    (settled_without_all_acknowledgements, range(17, 19)),
+    (granted_without_a_lease_of_ones_own, range(3)),
+    (granted_under_a_roster_not_sent, range(3)),
+    (lease_from_when_its_answer_comes, range(16, 18)),
+    (those_that_have_gone_are_forgotten, range(4)),
+    (newcomers_act_at_once, range(3, 6)),
+]
+
+
+@pytest.mark.parametrize(("bug", "seeds"), BUGS, ids=lambda one: getattr(one, "__name__", str(one)))
+def test_a_bug_that_is_put_in_is_found(
+    bug: Patch, seeds: Iterable[int], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    bug(monkeypatch)
+    found = control_explore.search(seeds)
+    assert found is not None
+    # The same run shows it again, and holds without it.
+    assert control_explore.Schedule(found.seed).run() == found
+    monkeypatch.undo()
+    assert control_explore.Schedule(found.seed).run() is None
+
+
+def test_without_a_bug_no_promise_breaks() -> None:
+    assert control_explore.search(range(1000, 1006)) is None
+
+
+def test_in_these_schedules_relays_do_act() -> None:
+    schedule = control_explore.Schedule(2)
+    assert schedule.run() is None and schedule.checks.acted > 1000
--- a/violetdoor/faults/control_checks.py
+++ b/violetdoor/faults/control_checks.py
@@ -1,6 +1,7 @@
 """Promises of the control plane, looked at over all processes of a `ControlWorld` at one true instant.
 
-Those that lie still are looked at, too: they may have asked just before, and act on the answer once they wake.
+Those that are stopped are looked at, too: they may have asked just before, and act on the answer once they
+go on.
 """
 
 from __future__ import annotations
@@ -71,7 +72,7 @@
         self._versions[key] = version
 
     def _look_at_lease(self, relay: Relay, attachment: Attachment) -> None:
-        """A lease ends 6 s after its heartbeat was sent, and none is under a roster before the settled one."""
+        """A lease ends 6 s after its heartbeat was sent; none is under a roster before the settled one."""
         if not attachment.may_act(self.world.relay_clock(relay)):
             return
         age = self.world.now - relay.beat_at
--- a/violetdoor/faults/control_explore.py
+++ b/violetdoor/faults/control_explore.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable
 from random import Random
 
+from violetdoor.control.sessions import BACKLOG_HOLD
 from violetdoor.faults.control_checks import Broken, ControlChecks
 from violetdoor.faults.control_world import ControlWorld
 from violetdoor.fleet.lease import MAX_CLOCK_DRIFT
@@ -21,7 +22,8 @@
 HARM_EVERY = 1.5  # s between two harms, on average
 HARMS = (
     "kill relay", "kill relay", "stop relay", "cut relay", "kill control", "stop control", "cut control",
-    "restart", "restart", "restart", "go on", "go on", "heal", "heal",
+    "restart", "restart", "restart", "go on", "go on", "heal", "heal", "clog", "clog",
+    "cut pair", "cut pair",
 )  # fmt: skip
 
 
@@ -78,6 +80,12 @@
                 others = [name for name in everybody if name != control.name]
                 some = others if random.random() < 0.5 else list(world.groups[control.region])
                 world.set_links([control.name], some, random.random() < 0.7, cut=True)
+            case "cut pair":
+                # The third member still hears both, so the view stays, and one lacks what the other writes.
+                two = random.sample(world.groups[control.region], 2)
+                world.set_links(two[:1], two[1:], cut=True)
+            case "clog":
+                self._clog()
             case "restart":
                 self._restart()
             case "go on":
@@ -85,6 +93,16 @@
             case "heal":
                 world.heal()
 
+    def _clog(self) -> None:
+        """Some connections take nothing more for now, and others are written out."""
+        for control in self.world.controls.values():
+            if control.machine is None or control.host.stopped:
+                continue
+            now = self.world.clock(control.host)
+            for number in list(control.accepted):
+                waiting = BACKLOG_HOLD + 1 if self.random.random() < 0.3 else 0
+                control.machine.session_backlog(number, waiting, now)
+
     def _restart(self) -> None:
         for name, control in self.world.controls.items():
             if control.machine is None:
--- a/violetdoor/faults/control_world.py
+++ b/violetdoor/faults/control_world.py
@@ -161,12 +161,18 @@
             self._end(relay.connection, relay, silent)
             relay.connection = None
 
+    def go_on(self, name: str) -> None:
+        super().go_on(name)
+        control = self.controls[name]
+        control.wakes_at = self.now
+        self._push(self.now, self._wake_control, control, control.life)
+
     def stop_relay(self, name: str) -> None:
         self.relays[name].stopped = True
 
     def go_on_relay(self, name: str) -> None:
         relay = self.relays[name]
-        relay.stopped = False
+        relay.stopped, relay.wakes_at = False, self.now
         self._push(self.now, self._wake_relay, relay, relay.life)
 
     def relay_clock(self, relay: Relay) -> float:
@@ -202,6 +208,8 @@
         machine = control.machine
         if machine is None or control.life != life or control.host.stopped:
             return
+        if self.now < control.wakes_at:
+            return  # a wake that was planned before it was put off
         control.wakes_at = math.inf
         now = self.clock(control.host) + ROUNDING
         if now >= machine.due:
@@ -220,7 +228,7 @@
                 self._do_control(control, machine, action)
         now = self.clock(control.host)
         at = self.now + max(0.0, machine.due - now) / control.host.rate
-        if at < control.wakes_at - 1e-9:
+        if at < control.wakes_at - ROUNDING or control.wakes_at < self.now:
             control.wakes_at = at
             self._push(at, self._wake_control, control, control.life)
 
@@ -289,7 +297,7 @@
     # Relays.
 
     def _wake_relay(self, relay: Relay, life: int) -> None:
-        if relay.attachment is None or relay.life != life or relay.stopped:
+        if relay.attachment is None or relay.life != life or relay.stopped or self.now < relay.wakes_at:
             return
         relay.wakes_at = math.inf
         now = self.relay_clock(relay) + ROUNDING
@@ -304,7 +312,7 @@
         for action in attachment.take_actions():
             self._do_relay(relay, action)
         at = self.now + max(0.0, attachment.due - self.relay_clock(relay)) / relay.rate
-        if at < relay.wakes_at - 1e-9:
+        if at < relay.wakes_at - ROUNDING or relay.wakes_at < self.now:
             relay.wakes_at = at
             self._push(at, self._wake_relay, relay, relay.life)
 
