--- a/tests/test_control_process.py
+++ b/tests/test_control_process.py
@@ -172,6 +172,20 @@
     run(test)
 
 
+def test_the_example_configurations_read_and_no_file_and_no_console_are_said() -> None:
+    deploy = ROOT / "deploy"
+    assert command("config", "check", "--form", "control", str(deploy / "control.toml")).returncode == 0
+    assert command("config", "check", str(deploy / "fleet-attached.toml")).returncode == 0
+    assert (
+        "control"
+        in orjson.loads(command("config", "schema", "--form", "control").stdout)["$defs"]["ControlFile"][
+            "properties"
+        ]
+    )
+    one_line(command("control"), "no file: give --config FILE")
+    one_line(command("control", "status", "--console", "127.0.0.1:1"), "127.0.0.1:1", "refused")
+
+
 async def owned_once(relays: list[Relay]) -> None:
     for key in ("orders", "a key", "k3", "k4", "k5"):
         path = key.replace(" ", "%20")
@@ -211,6 +225,18 @@
     run(test)
 
 
+def test_a_plain_run_imports_nothing_of_the_control_plane(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with (
+            GateServer() as server, Discovery(server) as discovery,
+            front(tmp_path, discovery, PYTHONPROFILEIMPORTTIME="1") as it,
+        ):  # fmt: skip
+            assert it.logged("violetdoor.fronts.line.front")  # what it does import is seen
+            assert not it.logged("violetdoor.control") and not it.logged("violetdoor.fleet")
+
+    run(test)
+
+
 async def attached_elsewhere(one: Relay, machine: str) -> None:
     """Wait until a relay is attached to another control machine than this."""
     async with asyncio.timeout(WITHIN):
@@ -391,29 +417,3 @@
     one_line(
         command("control", "--config", str(machine("c1"))), "c1.state: neither of its two parts is whole"
     )
-
-
-def test_the_example_configurations_read_and_no_file_and_no_console_are_said() -> None:
-    deploy = ROOT / "deploy"
-    assert command("config", "check", "--form", "control", str(deploy / "control.toml")).returncode == 0
-    assert command("config", "check", str(deploy / "fleet-attached.toml")).returncode == 0
-    assert (
-        "control"
-        in orjson.loads(command("config", "schema", "--form", "control").stdout)["$defs"]["ControlFile"][
-            "properties"
-        ]
-    )
-    one_line(command("control"), "no file: give --config FILE")
-    one_line(command("control", "status", "--console", "127.0.0.1:1"), "127.0.0.1:1", "refused")
-
-
-def test_a_plain_run_imports_nothing_of_the_control_plane(tmp_path: Path) -> None:
-    async def test() -> None:
-        async with (
-            GateServer() as server, Discovery(server) as discovery,
-            front(tmp_path, discovery, PYTHONPROFILEIMPORTTIME="1") as it,
-        ):  # fmt: skip
-            assert it.logged("violetdoor.fronts.line.front")  # what it does import is seen
-            assert not it.logged("violetdoor.control") and not it.logged("violetdoor.fleet")
-
-    run(test)
--- a/violetdoor/control/status.py
+++ b/violetdoor/control/status.py
@@ -6,6 +6,8 @@
 import math
 from typing import TYPE_CHECKING, Any
 
+import msgspec
+
 if TYPE_CHECKING:
     from violetdoor.control.client import ControlClient
     from violetdoor.control.server import ControlServer
@@ -55,7 +57,7 @@
     told["counts"] = dict(status.counts) | dict(server.counts)
     told["connections"], told["handshakes"] = len(server.sessions), len(server.handshakes)
     told["shared"] = len(server.fleet.node.map.entries)
-    told["group"] = server.fleet.status()
+    told["group"] = msgspec.to_builtins(server.fleet.status())
     return told
 
 
