--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # `make demo` and `make test` are all that a newcomer needs; both set up .venv first.
-.PHONY: demo fleet sites test
+.PHONY: control-demo demo fleet sites test
 
 .venv/requirements.txt: requirements.txt
 	rm -rf .venv && python3 -m venv .venv && .venv/bin/pip -q install -r requirements.txt
@@ -11,6 +11,9 @@
 fleet: .venv/requirements.txt
 	.venv/bin/python -m examples.fleet
 
+control-demo: .venv/requirements.txt
+	.venv/bin/python -m examples.control
+
 test: .venv/requirements.txt
 	PATH=.venv/bin:$$PATH sh -c 'ruff check . && ruff format --check . && mypy && pytest -q -n 6'
 
--- a/violetdoor/control/program.py
+++ b/violetdoor/control/program.py
@@ -19,6 +19,7 @@
 from violetdoor.control.server import ControlServer
 from violetdoor.control.status import machine_status
 from violetdoor.fleet.endpoint import Fleet
+from violetdoor.fleet.founding import ForceRefusedError
 from violetdoor.fleet.seal import KeyFileError, read_key
 from violetdoor.fleet.state_file import StateFileError
 from violetdoor.net.counters import Counters
@@ -115,7 +116,13 @@
             case "GET", ["control"]:
                 status = machine_status(self.server)
                 return HTTPStatus.OK, orjson.dumps(status, option=orjson.OPT_INDENT_2).decode() + "\n"
-            case _, ["healthcheck" | "stats" | "control"]:
+            case "PUT", ["control", "force"]:
+                try:
+                    self.server.fleet.force()
+                except ForceRefusedError as err:
+                    return HTTPStatus.CONFLICT, f"refused: {err}\n"
+                return HTTPStatus.OK, "asked those that are reached to go on\n"
+            case _, ["healthcheck" | "stats" | "control"] | ["control", "force"]:
                 return HTTPStatus.METHOD_NOT_ALLOWED, "another method is wanted\n"
         return HTTPStatus.NOT_FOUND, "no such call\n"
 
