--- a/benchmarks/fleet_scale/run.py
+++ b/benchmarks/fleet_scale/run.py
@@ -2,17 +2,19 @@
 
 from __future__ import annotations
 
+import asyncio
 import tempfile
 from dataclasses import dataclass, replace
 from pathlib import Path
 
+from benchmarks.fleet_scale import virtual
 from benchmarks.fleet_scale.fleet import Fleet, FleetFaultError
 from benchmarks.fleet_scale.keys import KeyPlan
 from benchmarks.fleet_scale.layout import Layout, Network, Size, lay_out
 from benchmarks.fleet_scale.processes import Processes
 from benchmarks.fleet_scale.report import Outcome
 from benchmarks.fleet_scale.timeline import Schedule, TimeLine
-from benchmarks.fleet_scale.verdict import RestFigures, Verdict, rest_figures
+from benchmarks.fleet_scale.verdict import RestFigures, Verdict, rest_figures, virtual_bounds
 
 SMALL = Size(700, 7, 2, 4)  # what a relay takes is compared with a fleet of this size
 SMALL_REAL = 2
@@ -34,6 +36,12 @@
     "and intervals in which a relay said at each look that it owns a key are compared afterwards.",
 )
 
+VIRTUAL_NOTE = (
+    f"Virtual time: {virtual.REGIONS} regions of {virtual.MACHINES} control machines; "
+    f"{virtual.RELAYS_UNDER_LOSS} relays each under loss, in {virtual.SLICES} parts of their own seeds; "
+    f"{virtual.RELAYS_CUT} each in the cut, {virtual.VICTIMS} of which die while it lasts."
+)
+
 
 @dataclass(frozen=True, slots=True)
 class Request:
@@ -45,6 +53,7 @@
     seed: int
     command: str
     compare: bool  # with a small fleet at rest
+    virtual: bool  # play also what takes an hour, in virtual time
 
 
 async def run(request: Request) -> Outcome:
@@ -55,6 +64,9 @@
     outcome = Outcome(_title(request.size), request.command, notes=list(NOTES))
     with tempfile.TemporaryDirectory(prefix="violetdoor-fleet-scale-") as folder:
         await _play(request, Path(folder), small, outcome)
+    if request.virtual:
+        outcome.bounds += virtual_bounds(await asyncio.to_thread(virtual.play, request.seed))
+        outcome.notes.append(VIRTUAL_NOTE)
     return outcome
 
 
--- a/benchmarks/fleet_scale/verdict.py
+++ b/benchmarks/fleet_scale/verdict.py
@@ -10,6 +10,7 @@
 from benchmarks.fleet_scale.fleet import Fleet
 from benchmarks.fleet_scale.records import Window
 from benchmarks.fleet_scale.timeline import PACE, Played
+from benchmarks.fleet_scale.virtual import LOSS, VirtualFigures
 from violetdoor.control.messages import RelayKey
 
 RELAY_BYTES, RELAY_CPU, RELAY_MEMORY = 6000.0, 0.049, 128.0  # bytes a second, part of a core, MiB
@@ -48,6 +49,25 @@
     )
 
 
+def virtual_bounds(figures: VirtualFigures) -> list[Bound]:
+    """What was played in virtual time."""
+    loss, cut = figures.loss, figures.cut
+    hour = f"{loss.seconds / 60:.0f} min of {LOSS:.0%} loss, virtual"
+    cut_for = f"a cut of {cut.seconds / 60:.0f} min, virtual"
+    return [
+        Bound(f"wrongful removals in {hour}", COUNT, 0, loss.removed),
+        Bound(f"relays that lost a lease in {hour}", COUNT, 0, loss.lost_leases),
+        Bound(
+            f"all relays know one roster of each region after {cut_for}",
+            SECONDS,
+            AGREED_WITHIN,
+            cut.agreed_after,
+        ),
+        Bound(f"keys with two owners in {cut_for}", COUNT, 0, cut.two_owners, cut.owned),
+        Bound(f"relays that lost a lease in {cut_for}", COUNT, 0, cut.lost_leases),
+    ]
+
+
 class Verdict:
     """All bounds of one run."""
 
--- a/tests/test_fleet_scale.py
+++ b/tests/test_fleet_scale.py
@@ -16,7 +16,7 @@
 import pytest
 
 from benchmarks.fleet_scale import __main__ as command
-from benchmarks.fleet_scale import measures, traffic
+from benchmarks.fleet_scale import measures, traffic, virtual
 from benchmarks.fleet_scale import protocol as p
 from benchmarks.fleet_scale.bounds import COUNT, SECONDS, Bound, broken
 from benchmarks.fleet_scale.keys import KeyPlan
@@ -214,6 +214,14 @@
     asyncio.run(play())
 
 
+def test_virtual_time_under_loss_and_through_a_cut() -> None:
+    loss = virtual.under_loss(1, 30.0)
+    assert loss.seconds >= 30.0 and not loss.removed and not loss.lost_leases
+    cut = virtual.cut_off(1, 40.0)
+    assert cut.agreed_after < 10.0 and not cut.two_owners and not cut.lost_leases
+    assert cut.owned > 30
+
+
 BUSY = 3.0  # times a bound in seconds, beside other tests
 SMALLER = ["--quick", "--relays", "200"]
 
