Relays go back to their first control machine; the leader reports who joined and who has gone

Cause: 600 relays in virtual time attached at whichever of four machines of a fresh group could grant first (282, 19, 279 and 20), and stayed there. A relay now tries the machine that stands first for it after about a minute, later and later where that fails, and goes back to the one it came from: no lease is lost and no roster is written (test_relays_go_back_to_a_control_machine_that_came_back).

--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -179,6 +179,25 @@
     assert world.until(lambda: agreed(world), 5.0) is not None
 
 
+def test_relays_go_back_to_a_control_machine_that_came_back(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(att, "HOME_FIRST", 6.0)
+    world = region_of(12)
+    world.run(60)  # after the founding, all are where they belong
+    before = {name: len(machine_of(world, name).sessions.by_name) for name in world.groups["a"]}
+    victim = max(before, key=lambda name: before[name])
+    world.kill_control(victim)
+    world.run(20)
+    world.start_control(victim)
+    began = world.now
+    world.run(60)
+    assert {name: len(machine_of(world, name).sessions.by_name) for name in world.groups["a"]} == before
+    assert before[victim] > 0 and not [e for e in world.reports if e[0] > began and e[2] == "control.members"]
+    assert not [e for r in world.running() for e in r.events if e[0] > began and e[1] == "attach.stale"]
+    world.leave("a-r3")
+    world.run(1)
+    assert [e[3]["gone"] for e in world.reports if e[2] == "control.members"] == [["a-r3"]]
+
+
 def test_two_of_five_die_and_nobody_is_without_a_lease_for_long() -> None:
     world = region_of(10, machines=5)
     leader = leader_of(world)
@@ -299,13 +318,12 @@
 def test_at_rest_a_relay_says_one_short_message_a_second() -> None:
     world = region_of(20)
     said: list[object] = []
-    relay = world.relays["a-r0"]
-    act_relay = world._do_relay
+    do_relay = world._do_relay
 
-    def listening(place: Relay, action: att.Action) -> None:
-        if place is relay and isinstance(action, att.Send):
+    def listening(relay: Relay, action: att.Action) -> None:
+        if relay.name == "a-r0" and isinstance(action, att.Send):
             said.append(action.message)
-        act_relay(place, action)
+        do_relay(relay, action)
 
     world._do_relay = listening  # type: ignore[method-assign]
     world.run(10)
--- a/violetdoor/control/attachment.py
+++ b/violetdoor/control/attachment.py
@@ -62,6 +62,9 @@
 SENT_AWAY_FOR = 2.0  # s for which a control machine that sent this relay away is left alone
 NO_LEASE = 8.0  # s in a session without a lease after which another control machine is tried: a new leader,
 # and a lease under the one before it, take up to 6
+# s after which a relay goes back to the control machine that stands first for it, give or take a half, and
+# doubled each time that this fails: restarts of control machines don't leave one without sessions
+HOME_FIRST, HOME_MOST = 60.0, 960.0
 PAUSE = 0.5  # s by which a relay that is woken late was stopped, and can't judge the other side's silence
 BEATS_MOST = 8  # heartbeats that are remembered until they are answered: more than a lease has
 HOMES_KEPT = 4096  # keys whose region is remembered
@@ -227,6 +230,9 @@
         self._leased_at = now  # when a lease came last, or the session was opened
         self._puts: dict[str, int | None] = {}  # keys to be sent, or the heartbeat whose answer confirms them
         self._sync_seen: dict[str, Entry] = {}  # of the control machine's map while it is sent whole
+        self._home_at = math.inf  # when the first control machine is tried in place of the present one
+        self._home_wait = HOME_FIRST
+        self._return_to: Candidate | None = None  # where the session was before that was tried
         self._lookups = 0
         self._homes: dict[str, str | None] = {}
         self._live = False  # whether the lease held when it was last looked at
@@ -281,6 +287,7 @@
             self._homes.clear()
         self._refused = None
         self._candidate.failures = 0
+        self._plan_going_home(now)
         self._heard_at = self._leased_at = now
         self._assembly, self._resyncing, self._sync_seen = SnapshotAssembly(), False, {}
         self._beats.clear()
@@ -422,11 +429,32 @@
         if not free:
             self._at = min(candidate.not_before for candidate in self._candidates)
             return
-        self._candidate = free[0]
+        came_from, self._return_to = self._return_to, None
+        self._candidate = came_from if came_from in free and came_from is not None else free[0]
+        self._open(now)
+
+    def _open(self, now: float) -> None:
         self.state, self._at = State.CONNECTING, now + CONNECT_WITHIN
         self.tallies["connects"] += 1
         self._do(Connect(self._candidate.address))
 
+    def _plan_going_home(self, now: float) -> None:
+        first = self._candidates[0]
+        if self._candidate is first:
+            self._home_at, self._home_wait = math.inf, HOME_FIRST
+            return
+        self._home_at = now + self._home_wait * (0.5 + self.random.random())
+        self._home_wait = min(HOME_MOST, 2 * self._home_wait)
+
+    def _go_home(self, now: float) -> None:
+        """Try the control machine that stands first, and go back at once where that fails."""
+        self._home_at = math.inf
+        self._do(Disconnect("going home"))
+        came_from = self._candidate
+        self._next(0.0, now, 0.0)
+        self._return_to, self._candidate = came_from, self._candidates[0]
+        self._open(now)
+
     def _shown(self) -> str:
         return "{}:{}".format(*self._candidate.address)
 
@@ -437,7 +465,7 @@
         """When `wake` is to be called next."""
         due = min(self._at, self._beat_at)
         if self.state is State.ATTACHED:
-            due = min(due, self._heard_at + self._patience, self._leased_at + NO_LEASE)
+            due = min(due, self._heard_at + self._patience, self._leased_at + NO_LEASE, self._home_at)
         return min(due, self.lease_until) if self._live else due
 
     @property
@@ -463,6 +491,8 @@
             self._give_up("silent", now)
         elif now >= self._leased_at + NO_LEASE:
             self._give_up("no lease", now)
+        elif now >= self._home_at:
+            self._go_home(now)
         elif now >= self._beat_at:
             self._beat(now)
 
--- a/violetdoor/control/machine.py
+++ b/violetdoor/control/machine.py
@@ -64,6 +64,7 @@
 
 TICK = 0.25  # s between two looks at what has no deadline of its own: counts of other regions, the lease
 ENTRIES_WAIT = 0.02  # s that news of the shared map wait for others: a site's drains come together
+NAMED_MOST = 10  # relays that an event names; it counts all
 ALONE_FOR = 0.5  # s without a lease in the group after which sessions are sent elsewhere
 
 
@@ -375,8 +376,21 @@
             self._send_out(sequencer, now)
             if sequencer.begun and not begun:
                 self._do(Report(events.CONTROL_TERM, {"version": str(self.replica.version)}))
+            self._report_written(sequencer)
         self.sessions.distribute(now)
 
+    def _report_written(self, sequencer: Sequencer) -> None:
+        written, sequencer.written = sequencer.written, []
+        for delta in written:
+            values = {
+                "version": str(delta.version),
+                "joined": [relay.name for relay in delta.joined[:NAMED_MOST]],
+                "joined_count": len(delta.joined),
+                "gone": [key.name for key in delta.gone[:NAMED_MOST]],
+                "gone_count": len(delta.gone),
+            }  # fmt: skip
+            self._do(Report(events.CONTROL_MEMBERS, values))
+
     def _send_out(self, sequencer: Sequencer, now: float) -> None:
         out, sequencer.out = sequencer.out, []
         for one in out:
--- a/violetdoor/control/sequencer.py
+++ b/violetdoor/control/sequencer.py
@@ -110,6 +110,7 @@
     def __init__(self, name: str, group: GroupState, replica: Replica, now: float) -> None:
         self.name, self.group, self.replica = name, group, replica
         self.out: list[Outgoing] = []
+        self.written: list[Delta] = []  # those with changes, for reports
         self.begun = False  # the first roster of this term is written
         self.write_first_at = math.inf  # where no roster goes on: when its first one is written
         self.places: dict[str, Place] = {}
@@ -340,6 +341,8 @@
         delta = Delta(base, version, joined, gone)
         outcome = self.replica.follow(delta, self.group)
         assert outcome is Outcome.APPLIED, outcome
+        if joined or gone:
+            self.written.append(delta)
         for member, progress in self.progress.items():
             self._send(member, Replicate(delta, self.replica.settled))
             progress.send_again_at = min(progress.send_again_at, now + RESEND)
