--- a/benchmarks/fleet_scale/__main__.py
+++ b/benchmarks/fleet_scale/__main__.py
@@ -8,6 +8,7 @@
 import argparse
 import asyncio
 import logging
+import signal
 import sys
 from dataclasses import replace
 
@@ -72,6 +73,14 @@
     print(outcome.last_line())
 
 
+async def run_until_told(wanted: Request) -> Outcome:
+    """Run; SIGTERM ends all processes of the run before its own."""
+    task = asyncio.current_task()
+    assert task is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    return await run(wanted)
+
+
 def main() -> int:
     """Run, print, and keep the result where that is asked for."""
     args = parse()
@@ -81,8 +90,12 @@
     except LayoutFaultError as err:
         print(f"fleet_scale: {err}", file=sys.stderr)
         return 2
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        outcome = runner.run(run(wanted))
+    try:
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            outcome = runner.run(run_until_told(wanted))
+    except asyncio.CancelledError:
+        print("fleet_scale: told to end; all its processes are ended", file=sys.stderr)
+        return 1
     show(outcome)
     if args.write:
         TARGET.write_text(page(outcome))
--- a/tests/test_fleet_scale.py
+++ b/tests/test_fleet_scale.py
@@ -10,10 +10,12 @@
 
 import asyncio
 import socket
+import sys
 from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
+from standins import ROOT
 
 from benchmarks.fleet_scale import __main__ as command
 from benchmarks.fleet_scale import measures, traffic, virtual
@@ -235,6 +237,24 @@
         assert bound.samples and bound.value <= allowed, f"{bound.title}: {bound.value}, limit {bound.limit}"
 
 
+def test_a_run_that_is_told_to_end_leaves_no_process_behind() -> None:
+    async def play() -> None:
+        run = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "benchmarks.fleet_scale", "--quick", "--relays", "60",
+            cwd=ROOT, stderr=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.DEVNULL,
+        )  # fmt: skip
+        assert run.stderr is not None
+        async with asyncio.timeout(60.0):
+            while b"control machines run" not in await run.stderr.readline():
+                assert run.returncode is None
+            started = Path(f"/proc/{run.pid}/task/{run.pid}/children").read_text().split()
+            run.terminate()
+            assert await run.wait() == 1
+        assert len(started) >= 7 and not [pid for pid in started if Path("/proc", pid).exists()]
+
+    asyncio.run(play())
+
+
 def test_numbers_that_make_no_fleet_are_status_2(
     monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
 ) -> None:
