--- a/tests/test_control_process.py
+++ b/tests/test_control_process.py
@@ -10,7 +10,7 @@
 import resource
 import signal
 import sys
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -37,10 +37,17 @@
 class Region:
     """Addresses and files of one region's control machines and relays, of one test alone."""
 
-    def __init__(self, folder: Path, front: dict[str, Any]) -> None:
-        self.folder, self.front = folder, front
+    def __init__(
+        self,
+        folder: Path,
+        front: dict[str, Any],
+        name: str = "r1",
+        machines: Sequence[str] = ("c1", "c2", "c3"),
+    ) -> None:
+        self.folder, self.front, self.name = folder, front, name
         self.net = f"127.{150 + os.getpid() % 50}.{Random().randrange(256)}"
-        self.machines = ["c1", "c2", "c3"]
+        self.machines = list(machines)
+        self.regions = {name: [self.sessions(machine) for machine in machines]}
         (folder / "fleet.key").write_bytes(KEY)
 
     def sessions(self, name: str) -> str:
@@ -53,13 +60,13 @@
         data = {
             "log": "json",
             "control": {
-                "name": name, "region": "r1", "listen": self.sessions(name), "console": "127.0.0.1:0",
+                "name": name, "region": self.name, "listen": self.sessions(name), "console": "127.0.0.1:0",
                 "key": "fleet.key",
                 "group": {
                     "listen": group(name), "founders": self.machines, "state": f"{name}.state",
                     "seeds": [group(n) for n in self.machines if n != name],
                 },
-                "regions": {"r1": [self.sessions(n) for n in self.machines]}, **control,
+                "regions": self.regions, **control,
             },
         }  # fmt: skip
         path = self.folder / f"{name}.json"
@@ -71,7 +78,7 @@
             "name": name, "listen": "127.0.0.1:0", "console": "127.0.0.1:0", "log": "json",
             "classes": [{"name": "checkin", "aim_ms": 300, "deadline_ms": 1200, "message_aim_ms": 250}],
             "fleet": {
-                "region": "r1", "control": [self.sessions(n) for n in self.machines], "key": "fleet.key",
+                "region": self.name, "control": [self.sessions(n) for n in self.machines], "key": "fleet.key",
                 "wait": 0.5, **fleet,
             },
             **self.front,
@@ -349,6 +356,50 @@
     assert {(await fleet(r))["attempt"] for r in it.relays} == before
 
 
+def test_two_regions_count_each_other_and_know_the_owners_of_each_others_keys(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with contextlib.AsyncExitStack() as stack:
+            discovery = await stack.enter_async_context(Discovery(GateServer()))
+            regions = [
+                Region(tmp_path, line_front(discovery), name, [machine])
+                for name, machine in (("r1", "c1"), ("r2", "c2"))
+            ]
+            for region in regions:
+                region.regions = regions[0].regions | regions[1].regions
+            machines = await asyncio.gather(
+                *[stack.enter_async_context(one.machine(one.machines[0])) for one in regions]
+            )
+            relays = await asyncio.gather(
+                *[stack.enter_async_context(one.relay(f"{one.name}-relay")) for one in regions]
+            )
+            for one in relays:
+                status = await knows(one, living=2)
+                assert {name: known["total"] for name, known in status["living"]["regions"].items()} == {
+                    "r1": 1, "r2": 1,
+                }  # fmt: skip
+            owners = {key: await owner_known_at_all(relays, key) for key in "abcde"}
+            assert set(owners.values()) == {"r1-relay", "r2-relay"}  # by the names alone: always the same
+            # A region that is lost keeps its last count, with its age, and nobody here loses a lease.
+            kill(machines[1])
+            async with asyncio.timeout(WITHIN):
+                while (await knows(relays[0], living=2))["living"]["regions"]["r2"]["age_s"] < 1.0:
+                    await asyncio.sleep(0.05)
+            assert machines[0].logged('"control.region.lost"')
+
+    run(test)
+
+
+async def owner_known_at_all(relays: list[Relay], key: str) -> str:
+    """Wait until all name the owner of a key, which the others learn from their control machine."""
+    async with asyncio.timeout(WITHIN):
+        while True:
+            answers = [await one.call(f"GET /fleet/owner/{key}") for one in relays]
+            if all(status == 200 for status, _ in answers):
+                (owner,) = {text.strip() for _, text in answers}
+                return owner
+            await asyncio.sleep(0.02)
+
+
 async def upgraded(it: Site) -> None:
     """Replace the process of one relay: it goes on as the same run."""
     old = it.relays[0]
