--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -17,7 +17,7 @@
 import uvloop
 from standins import PATIENCE, ROOT, Discovery, GateServer, Reader, Writer, run, until
 from test_clients_leave import PATIENT, Holding, Late, around, leave
-from test_line import SETTINGS, first_line, line, opened, settled
+from test_line import SETTINGS, first_line, line, opened, settled, world
 
 from violetdoor.net.acceptor import Acceptor
 from violetdoor.net.counters import Counters
@@ -423,3 +423,16 @@
         await acceptor.close()
 
     uvloop.run(test())
+
+
+@pytest.mark.parametrize(("most", "told"), [(120.0, b"BUSY 120\r\n"), (900.0, b"BUSY 300\r\n")])
+def test_a_client_is_sent_away_for_no_longer_than_the_settings_allow(
+    tmp_path: Path, most: float, told: bytes
+) -> None:
+    async def test() -> None:
+        limits = SETTINGS["policyLimits"] | {"maxRetryAfter": most}
+        async with world(tmp_path, GateServer(), policyLimits=limits) as (it, _):
+            reader, _ = await it.open()  # and says nothing: its line may be on the way
+            assert await line(reader) == told
+
+    run(test)
--- a/violetdoor/fronts/line/front.py
+++ b/violetdoor/fronts/line/front.py
@@ -44,7 +44,8 @@
 RETURNS_MOST = 1024
 SEEN_MOST = 4096  # ids of ended connections that are remembered
 RELIEF_PART = 0.01  # of the standing clients, moved at a time under memory pressure
-LEAVE_RETRY = 300  # ms after which a client may come again that arrives while the program leaves
+LEAVE_RETRY = 300  # ms after which a client may come again that arrives while the program leaves, or the
+# longest that the settings allow, if that is less
 
 
 class LineFront:
@@ -57,10 +58,9 @@
     ) -> None:  # fmt: skip
         self.core, self.directory, self.counts, self.figures = core, directory, counts, figures
         self.rules, self.gate = rules, gate
-        self.leave_retry, self.idle = LEAVE_RETRY, 60.0
+        self.idle = 60.0
         self.notes = Notes()
-        busy = b"BUSY %d\r\n" % LEAVE_RETRY
-        self.acceptor = Acceptor(address, self.session, counts, sockets, busy, listener)
+        self.acceptor = Acceptor(address, self.session, counts, sockets, b"BUSY\r\n", listener)
         self.open: set[int] = set()  # ids of the connections that are served
         self.seen: OrderedDict[int, None] = OrderedDict()  # ids of lately, oldest first
         self.adopt_until = core.now() + ADOPT_WITHIN * 1000
@@ -80,6 +80,8 @@
         """
         self.options, self.deadlines, self.tenants = options, options.deadlines, options.tenants
         self.connect_timeout = options.connect_timeout
+        self.leave_retry = round(min(LEAVE_RETRY, self.core.settings.max_retry_after))
+        self.acceptor.over_limit = b"BUSY %d\r\n" % self.leave_retry
         longest = max(options.deadlines.values(), default=0.0) / 1000
         self.leave_within = min(self.leave_within, min(longest, MOST_DEADLINE) + KILL_AFTER - CALM_EXIT)
 
