--- a/violetdoor/fleet/view.py
+++ b/violetdoor/fleet/view.py
@@ -10,16 +10,18 @@
 import xxhash
 from msgspec import Struct
 
-MEMBERS_MOST = 1024  # of one view; a bitmap of it has 128 bytes, so that two fit into every packet
-JOINS_MOST = 48  # taken in by one change, if their names leave room
-LINE_RANDOM_BITS = 16
+MAX_MEMBERS = 1024  # of one view; a bitmap of it has 128 bytes, so that two fit into every packet
+MAX_JOINS = 48  # taken in by one change, if their names leave room
+EPOCH_RANDOM_BITS = 16
+
+Address = tuple[str, int]  # host and port, as the socket API has them
 
 
 class Peer(Struct, frozen=True, array_like=True):
     """One life of one relay as a member.
 
     `instance` is drawn anew each time it enters, so that what was said of an earlier life means nothing
-    to it; `process` is the same as long as its program runs; `since` is the place in its line of the
+    to it; `process` is the same as long as its program runs; `since` is the place in its epoch of the
     first view that has it.
     """
 
@@ -31,6 +33,11 @@
     process: int = 0
     since: int = 0
 
+    @property
+    def address(self) -> Address:
+        """Where other relays reach it."""
+        return self.host, self.port
+
 
 class Change(Struct, frozen=True, array_like=True):
     """From one view to the next: members by their place in the view before, and who enters."""
@@ -44,29 +51,30 @@
 
 
 class ViewId(Struct, frozen=True, array_like=True, order=True):
-    """The number of a view: the line that it belongs to, and its place in that line.
+    """The number of a view: the epoch that it belongs to, and its place in that epoch.
 
-    A line begins where a fleet is founded, or is founded anew after the loss of a majority. Its value is the
-    founder's Unix time in ms with random bits behind, so that later lines are higher where clocks are sound.
+    An epoch begins where a fleet is founded, or is founded anew after the loss of a majority. Its value is
+    the founder's Unix time in ms with random bits behind, so that later epochs are higher where clocks are
+    sound.
     """
 
-    line: int
+    epoch: int
     seq: int
 
     def __str__(self) -> str:
-        return f"{self.line:x}/{self.seq}"
+        return f"{self.epoch:x}/{self.seq}"
 
 
 class View(Struct, frozen=True, array_like=True, dict=True):
     """Who is in the fleet. Members are sorted by name; their place is what bitmaps and ballots go by."""
 
-    line: int
+    epoch: int
     seq: int
     members: tuple[Peer, ...]
 
     @property
     def id(self) -> ViewId:
-        return ViewId(self.line, self.seq)
+        return ViewId(self.epoch, self.seq)
 
     @cached_property
     def digest(self) -> str:
@@ -93,12 +101,12 @@
         return known is not None and known.instance == peer.instance
 
     def after(self, change: Change) -> View:
-        """The next view of this line."""
+        """The next view of this epoch."""
         gone = set(change.dead) | set(change.left)
         kept = {p.name: p for n, p in enumerate(self.members) if n not in gone}
         seq = self.seq + 1
         kept |= {p.name: msgspec.structs.replace(p, since=seq) for p in change.joins}
-        return View(self.line, seq, in_order(kept.values()))
+        return View(self.epoch, seq, in_order(kept.values()))
 
     def owner(self, key: str) -> str:
         """The member that a key belongs to, by rendezvous hashing: few keys move when members change."""
