--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -388,7 +388,8 @@
 
 
 @pytest.mark.parametrize(
-    ("message", "why"), [(m.Heartbeat(1, None), "unexpected"), (attach("r" * 90), "relay"), (m.Leave(), "unexpected")]
+    ("message", "why"), [(m.Heartbeat(1, None), "unexpected"), (attach("r" * 90), "relay"), (m.Leave(), "unexpected"),
+    (m.Lookup(1, "k"), "unexpected"), (m.Put(()), "unexpected"), (m.Resync(), "unexpected")]
 )  # fmt: skip
 def test_what_is_out_of_place_ends_its_session_alone(message: m.SessionRequest, why: str) -> None:
     machine = a_machine()
--- a/tests/test_control_search.py
+++ b/tests/test_control_search.py
@@ -111,3 +111,15 @@
 def test_in_these_schedules_relays_do_act() -> None:
     schedule = control_explore.Schedule(2)
     assert schedule.run() is None and schedule.checks.acted > 1000
+
+
+def test_beyond_the_bound_on_clocks_leases_outlive_their_end() -> None:
+    """The bound is what the promises rest on."""
+    assert control_explore.search(SEEDS, RELAYS_STOP, assumed=False) is not None
+
+
+def test_a_schedule_is_the_same_each_time() -> None:
+    first, again = control_explore.Schedule(7), control_explore.Schedule(7)
+    first.run()
+    again.run()
+    assert first.world.reports == again.world.reports and first.checks.acted == again.checks.acted
--- a/violetdoor/control/attachment.py
+++ b/violetdoor/control/attachment.py
@@ -21,6 +21,7 @@
 from violetdoor.control.messages import (
     ENTRIES_CHUNK,
     ENTRY_KEY_MOST,
+    LOOKUP_KEY_MOST,
     PROTOCOL_VERSION,
     Attach,
     Changes,
@@ -535,8 +536,11 @@
         self._at = self._beat_at = math.inf
 
     def lookup(self, key: str, now: float) -> int | None:
-        """Ask who owns a key of any region; the number that `LookedUp` will bear, none without a session."""
-        if self.state is not State.ATTACHED:
+        """Ask who owns a key of any region; the number that `LookedUp` will bear.
+
+        None: there is no session, or the key is too long.
+        """
+        if self.state is not State.ATTACHED or len(key) > LOOKUP_KEY_MOST:
             return None
         self._lookups += 1
         self._send(Lookup(self._lookups, key))
--- a/violetdoor/control/machine.py
+++ b/violetdoor/control/machine.py
@@ -27,6 +27,7 @@
 from violetdoor.control.messages import (
     ENTRIES_CHUNK,
     ENTRY_KEY_MOST,
+    LOOKUP_KEY_MOST,
     Attach,
     Entries,
     GroupMessage,
@@ -137,7 +138,7 @@
                 sessions.resync(session, now)
             case Put() if session.relay is not None:
                 self._put(session, message, now)
-            case Lookup() if session.relay is not None:
+            case Lookup() if session.relay is not None and len(message.key) <= LOOKUP_KEY_MOST:
                 sessions.send(session, self._look_up(message))
             case Leave() if session.relay is not None:
                 sessions.left(session, now)
--- a/violetdoor/control/messages.py
+++ b/violetdoor/control/messages.py
@@ -21,6 +21,7 @@
 KEY_BYTES = NAME_MOST + 12  # of one `RelayKey` at the most
 SNAPSHOT_CHUNK = 250  # members in one `SnapshotChunk`: about 16 KiB, and 55 KB at the most
 ENTRIES_CHUNK = 250  # entries of the shared map in one `Entries`
+LOOKUP_KEY_MOST = 1024  # characters of a key whose owner is asked for
 ENTRY_KEY_MOST = 128  # bytes of a key of the shared map: so many of them fit into a frame
 
 RefusalReason = Literal["busy", "full", "name", "behind", "not ready", "region", "version"]
