--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import itertools
 from random import Random
 
@@ -546,6 +547,31 @@
     assert len(replica.roster) == 0
 
 
+def test_a_roster_settles_once_all_have_it_and_leases_under_earlier_views_and_its_own_are_over() -> None:
+    replica = Replica()
+    replica.replace(snapshot(m.Version(7, 1, 0)), group(1))
+    uncleared = dataclasses.replace(group(2), cleared=False)
+    leader = Sequencer("c0", uncleared, replica, 0.0)
+    for member in ("c0", "c1", "c2"):
+        leader.state_received(member, m.TermState(7, 2, m.Version(7, 1, 0), None, (), True), 0.0)
+    leader.wake(0.0)
+    assert leader.begun and replica.roster is not None
+    for n, relay in enumerate(replica.roster.members.values()):
+        leader.opened("c1", m.SessionOpened(relay, n), 0.0)
+    version = m.Version(7, 2, 0)
+    leader.replicated("c1", version, 1.0)
+    leader.wake(20.0)
+    assert replica.settled is None  # c2 may still grant under the one before
+    leader.replicated("c2", version, 20.0)
+    leader.wake(30.0)
+    assert replica.settled is None  # so may one that was taken out of the view
+    leader.group_changed(group(2), 30.0)
+    leader.wake(36.4)
+    assert replica.settled is None  # and what was granted until then holds for 6 s of the slowest clock
+    leader.wake(36.5)
+    assert replica.settled == version
+
+
 def test_the_end_of_an_old_session_does_not_take_out_a_relay_that_is_elsewhere() -> None:
     replica = Replica()
     leader = Sequencer("c0", group(1, members=("c0", "c1")), replica, 0.0)
