--- a/tests/test_fleet_scale.py
+++ b/tests/test_fleet_scale.py
@@ -13,6 +13,8 @@
 import sys
 from collections.abc import Iterator
 from pathlib import Path
+from random import Random
+from typing import cast
 
 import pytest
 from standins import ROOT
@@ -21,14 +23,17 @@
 from benchmarks.fleet_scale import measures, traffic, virtual
 from benchmarks.fleet_scale import protocol as p
 from benchmarks.fleet_scale.bounds import COUNT, SECONDS, Bound, broken
+from benchmarks.fleet_scale.hollow import RunningRelay
 from benchmarks.fleet_scale.keys import KeyPlan
 from benchmarks.fleet_scale.layout import LayoutFaultError, Network, Size, lay_out
 from benchmarks.fleet_scale.links import RegionLinks
+from benchmarks.fleet_scale.looks import OwnerLook, RosterLook, ServiceLook
 from benchmarks.fleet_scale.processes import Processes
 from benchmarks.fleet_scale.records import Floor, History, HostHistory, Window
 from benchmarks.fleet_scale.report import Outcome, page
 from benchmarks.fleet_scale.run import run
-from violetdoor.control.messages import RelayKey, Version
+from violetdoor.control.messages import Relay, RelayKey, Version
+from violetdoor.control.roster import Roster
 
 ONE, OTHER = RelayKey("one", 1), RelayKey("other", 2)
 BEFORE, AFTER, LATER = Version(1, 1, 1), Version(1, 1, 2), Version(1, 2, 1)
@@ -136,6 +141,81 @@
     assert not Outcome("a fleet", "command", [kept], ["a process died"]).good
 
 
+class Looked:
+    """A relay as the looks see it."""
+
+    def __init__(self, key: RelayKey) -> None:
+        self.key = key
+        self.acting = self.owning = True
+        self.in_own_roster, self.in_service, self.gap = True, False, False
+        self.roster: Roster | None = Roster(BEFORE, [Relay(key.name, key.instance, "host", 1)])
+
+    def may_act(self, now: float) -> bool:
+        return self.acting
+
+    def owns(self, key: str, now: float) -> bool:
+        return self.owning
+
+
+def looked(*keys: RelayKey) -> tuple[list[Looked], list[RunningRelay]]:
+    made = [Looked(key) for key in keys]
+    return made, cast("list[RunningRelay]", made)
+
+
+def test_a_relay_is_in_service_once_it_is_in_its_roster_and_each_gap_of_its_lease_is_noted() -> None:
+    written: list[p.Record] = []
+    (one,), relays = looked(ONE)
+    look = ServiceLook(written.append)
+    one.in_own_roster = False
+    look.look(1.0, relays)
+    assert not written  # a lease alone is not enough
+    one.in_own_roster = True
+    look.look(2.0, relays)
+    one.acting = False
+    look.look(3.0, relays)
+    look.look(4.0, relays)
+    one.acting = True
+    look.look(5.0, relays)
+    assert written == [p.RelayInService(2.0, ONE), p.LeaseGap(2.0, 5.0, ONE)]
+    one.acting = False
+    look.look(6.0, relays)
+    look.ended(6.5, relays[0])
+    assert written[-1] == p.LeaseGap(5.0, 6.5, ONE)
+
+
+def host_plan() -> p.HostPlan:
+    watch = (p.KeyWatch("key", ("one",)),)
+    return p.HostPlan("host", "a", ("a", "b"), (), "", (), watch, 1)
+
+
+def test_ownership_is_written_in_parts_that_meet_and_ends_at_the_last_look_that_saw_it() -> None:
+    written: list[p.Record] = []
+    (one,), relays = looked(ONE)
+    look = OwnerLook(host_plan(), written.append, Random(1))
+    for now in (0.0, 1.0, 3.0, 4.0):
+        look.look(lambda at=now: at, {"one": relays[0]})  # type: ignore[misc]
+    one.owning = False
+    look.look(lambda: 5.0, {"one": relays[0]})
+    assert written == [p.Ownership(0.0, 3.0, "key", ONE), p.Ownership(3.0, 4.0, "key", ONE)]
+
+
+def test_what_a_host_knows_is_what_its_last_relay_knows() -> None:
+    written: list[p.Record] = []
+    (one, other), relays = looked(ONE, OTHER)
+    one.in_service = other.in_service = True
+    look = RosterLook(host_plan(), written.append)
+    look.look(1.0, relays)
+    one.roster = Roster(AFTER, [Relay("other", 2, "host", 1)])
+    look.look(2.0, relays)
+    floors = [r for r in written if isinstance(r, p.RosterFloor)]
+    assert [floor.version for floor in floors] == [BEFORE]  # one relay still has the roster before
+    (change,) = [r for r in written if isinstance(r, p.Members) and r.version == AFTER]
+    assert change.gone == (ONE,) and change.joined == (OTHER,)
+    other.roster = one.roster
+    look.look(3.0, relays)
+    assert written[-1] == p.RosterFloor(3.0, "a", AFTER)
+
+
 @pytest.fixture
 def network() -> Iterator[Network]:
     made = Network()
