--- a/benchmarks/fleet_scale/timeline.py
+++ b/benchmarks/fleet_scale/timeline.py
@@ -47,7 +47,7 @@
     agree: float = 15.0  # from the healing, in which all are to know one roster again
 
 
-FULL = Schedule(20.0, 5.0, 12.0, 20.0, 14, 0.25, 15.0, 60.0, 20.0)
+FULL = Schedule(12.0, 5.0, 12.0, 20.0, 14, 0.25, 15.0, 60.0, 20.0)
 QUICK = Schedule(2.0, 5.0, 4.0, 4.0, 3, 0.2, 5.0, 6.0, 3.0)
 
 
