--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -195,7 +195,7 @@
     first = next(role for role in ranked if role.impossible)
     worst = max(ranked, key=_ratio)
     lines = [
-        f"First is what carries **{first.name}**: {first.impossible}."
+        f"First is what carries **{first.name}**: {first.impossible}. Today: {first.mechanism}."
         f" Its worst need is {number(_ratio(first))} times its budget ({first.worst.what if first.worst else ''}).",
         f"The largest need over budget of any control role is that of {worst.name}: {number(_ratio(worst))} times"
         f" ({worst.worst.what if worst.worst else ''}).",
