--- a/benchmarks/capacity/needs.py
+++ b/benchmarks/capacity/needs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from dataclasses import dataclass, replace
 from enum import Enum
 
@@ -93,6 +94,8 @@
         if series is None or verdict is None:
             return Need(0.0, 0.0, 0.0, Kind.MISSING, f"{name}: not measured")
         sources, largest = frozenset({source(series)}), max(series.points, key=lambda p: p.size)
+        if not verdict.counts and size <= largest.size:
+            return _between(series, size)
         if not verdict.counts:
             chain = f"{name} at {number(largest.size)}, beyond which its slope does not count"
             return Need(largest.value, largest.low, largest.high, Kind.FLOOR, chain, sources)
@@ -119,9 +122,35 @@
         )
 
     def breaks_at(self, name: str, budget: float) -> float:
-        """The size at which a series reaches a budget; infinite where it never does or was not measured."""
-        verdict = self.verdict(name)
-        return float("inf") if verdict is None or not verdict.counts else verdict.fit.size_at(budget)
+        """The size at which a series reaches a budget; infinite where none is known.
+
+        Where its slope does not count, only sizes between measured ones are looked at.
+        """
+        series, verdict = self.store.series.get(name), self.verdict(name)
+        if series is None or verdict is None:
+            return float("inf")
+        if verdict.counts:
+            return verdict.fit.size_at(budget)
+        ordered = sorted(series.points, key=lambda point: point.size)
+        for before, after in itertools.pairwise(ordered):
+            if before.value < budget <= after.value:
+                part = (budget - before.value) / (after.value - before.value)
+                return before.size + part * (after.size - before.size)
+        return float("inf")
+
+
+def _between(series: Series, size: float) -> Need:
+    """A size within those measured, on the straight line between its neighbours."""
+    ordered = sorted(series.points, key=lambda point: point.size)
+    before = max((p for p in ordered if p.size <= size), key=lambda p: p.size, default=ordered[0])
+    after = min((p for p in ordered if p.size >= size), key=lambda p: p.size, default=ordered[-1])
+    part = 0.0 if after.size == before.size else (size - before.size) / (after.size - before.size)
+    value, low, high = (
+        getattr(before, of) + part * (getattr(after, of) - getattr(before, of))
+        for of in ("value", "low", "high")
+    )
+    chain = f"{series.name} at {number(size)}, between those measured"
+    return Need(value, low, high, Kind.MEASURED, chain, frozenset({source(series)}))
 
 
 def source(one: Series | Figure) -> str:
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -97,3 +97,6 @@
     found = Measured(Store({"steep": steep})).at("steep", 5600)
     assert found.kind is Kind.FLOOR and found.value == 2000.0
     assert Measured(Store()).at("steep", 5600).kind is Kind.MISSING
+    within = Measured(Store({"steep": steep})).at("steep", 300)
+    assert within.kind is Kind.MEASURED and within.value == 310.0
+    assert Measured(Store({"steep": steep})).breaks_at("steep", 260.0) == 250.0
