--- a/benchmarks/capacity/control_roles.py
+++ b/benchmarks/capacity/control_roles.py
@@ -138,7 +138,7 @@
         "owner look-ups", True, "nothing beyond the view", "`View.owner`, all members weighed for each key",
         (
             Row("one look-up", "us", one),
-            Row("all shards anew after a change of members", "core s", every, budget),
+            Row("all shards anew after a change of members, if a relay is to know its own", "core s", every.reckoned(), budget),
             Row("restarts and failures a s, each such a change", "1/s",
                 reckoned(RESTART_RATE, f"({d.RESTARTS_A_DAY:,} + {d.FAILURES_A_DAY}) / 86,400 s")),
         ),
--- a/benchmarks/capacity/data_roles.py
+++ b/benchmarks/capacity/data_roles.py
@@ -7,6 +7,7 @@
 from benchmarks.capacity.needs import Measured, reckoned
 from benchmarks.capacity.role import CHANGE_RATE, CORE_US, SERVERS_SEEN, Role, Row, size
 
+MOST_SERVERS = 15_000  # that were measured
 GROUPED = 1.0  # part of arrivals that belong to a group: an assumption, the worst
 RETURN_WITHIN = 60.0  # s in which the clients of a lost rack or zone come again: an assumption
 
@@ -100,6 +101,8 @@
         "`lynxdeck/policy.py`; a part of the servers for each relay where there are more: none yet",
         (
             Row(f"ticks and changes of the list, {seen}", "cores", steady, d.CORE_PART),
+            Row(f"one arrival with a group that comes first since the list changed, {MOST_SERVERS:,} servers", "us",
+                m.at("module_arrival_new_group", MOST_SERVERS)),
             Row("one arrival with a group, all connections standing", "us", arrival),
             Row("arrivals after a zone is lost", "cores", busy, 1.0),
             Row("memory", "MiB", memory),
--- a/benchmarks/capacity/role.py
+++ b/benchmarks/capacity/role.py
@@ -54,5 +54,5 @@
 def size(value: float, what: str) -> str:
     """Where something breaks, in words."""
     if math.isinf(value):
-        return f"no size is known at which {what} is spent"
+        return f"no measured size spends {what}, and no slope that counts says which does"
     return f"{value:,.0f} spend {what}"
