The load of a light connection is no word that its server is late

Cause: a LOAD line under 1,000 us/s was read as a delay in ms. Where loads differ by a hundred times many connections ask for less. Change: the first line within 200 ms of UP is the connection's load; later a value is a load if it is over a tenth of the load told before, unless the server is known to be late or the line comes twice within 2.5 s.

--- a/violetdoor/fronts/line/notes.py
+++ b/violetdoor/fronts/line/notes.py
@@ -7,9 +7,13 @@
 
 from __future__ import annotations
 
+import math
+
 from lynxdeck.interface import NoteKind
 
-LOAD_LEAST = 1_000.0  # us/s, a thousandth of a core: nothing that is connected asks for less
+LOAD_LEAST = 1_000.0  # us/s, a thousandth of a core: few connections ask for less
+FIRST_WITHIN = 200.0  # ms after UP within which a connection's first line tells its load: it comes with UP
+SWING = 10.0  # times less that a connection's load becomes at once: two deviations of a swing of 0.8
 DELAY_MOST = 5_000.0  # ms: no server has as much work piled up, it drops connections before
 GROWTH = 2.0  # times the time passed that a delay grows by at most: asked for thrice what it can
 UNCLEAR_MOST = 64
@@ -24,16 +28,24 @@
         self.unclear: dict[str, tuple[int, float]] = {}  # servers with a line that may be either: on which
         # connection, and when
 
-    def kind(self, server: str, connection: int, value: float, now: float) -> NoteKind:
-        """What the line means that brought this value on this connection now (ms)."""
-        if value >= DELAY_MOST:
+    def kind(
+        self, server: str, connection: int, value: float, now: float,
+        load: float | None = None, age: float = math.inf,
+    ) -> NoteKind:  # fmt: skip
+        """What the line means that brought this value on this connection now (ms).
+
+        `load`: what the connection was last told to ask for, if that was told; `age`: ms since its UP.
+        """
+        if value >= DELAY_MOST or (load is None and age < FIRST_WITHIN):
             return NoteKind.LOAD
         before, at = self.unclear.pop(server, (-1, 0.0))
         # Loads change every few seconds at the most; guards against a delay whose first word was this long.
         again = before == connection and now - at < REPEATED
         told, delay = self.late.get(server, (-REPEATED, 0.0))
         grown = delay + GROWTH * (now - told)
-        if value >= LOAD_LEAST and not again and (now - told >= REPEATED or value > grown):
+        # Guards against light connections: each of their loads would move half of the relay's clients away.
+        light = load is not None and value >= load / SWING
+        if (value >= LOAD_LEAST or light) and not again and (now - told >= REPEATED or value > grown):
             self.unclear[server] = connection, now
             if len(self.unclear) > UNCLEAR_MOST:
                 del self.unclear[next(iter(self.unclear))]
--- a/violetdoor/fronts/line/session.py
+++ b/violetdoor/fronts/line/session.py
@@ -57,6 +57,8 @@
         self.cls = ""  # once the first line has told it
         self.farewell = ""  # BYE or MOVE, once the server said it
         self.report: Mapping[str, float] = {}  # that came with a server's last word
+        self.up_at = 0.0  # ms: when the server's answer was there
+        self.load: float | None = None  # us/s that the connection asks for, as the server last told
 
     async def run(self) -> None:
         """Answer a first line: a check of the front, or a request."""
@@ -424,6 +426,7 @@
         """Pass the server's lines on, those that came with UP first."""
         server = self.server
         assert server is not None
+        self.up_at = self.core.now()
         while True:
             if length := server.whole():
                 self.read_lines(ticket, server, length)
@@ -448,10 +451,12 @@
         """A LOAD line came: tell the core which of the two notes it is."""
         options = self.front.options
         if options.tells_load and options.tells_delay:
-            kind = self.front.notes.kind(ticket.server, ticket.id, value, self.core.now())
+            now = self.core.now()
+            kind = self.front.notes.kind(ticket.server, ticket.id, value, now, self.load, now - self.up_at)
         else:
             kind = i.NoteKind.DELAY if options.tells_delay else i.NoteKind.LOAD
         late = kind is i.NoteKind.DELAY
+        self.load = self.load if late else value
         self.front.counts["delay_lines"] += late
         ticket.note(kind, value if late else value / 1000)
 
