--- a/benchmarks/fleet_scale/run.py
+++ b/benchmarks/fleet_scale/run.py
@@ -31,9 +31,9 @@
     "process's death closes it. A rack is a stopped process.",
     "Bytes are TCP_INFO's payload and segments both ways, 52 a segment (IPv4, TCP, timestamps), as many segments as "
     "Ethernet would need, acknowledgements in them. Ethernet's own 18 a frame are not.",
-    "Processor and memory of a hollow relay are its part of its host's, less what the looks take of the processor. That "
-    "part falls as the machine gets busier, so growth of the processor says only that there is none to see; real "
-    "relays beside are processes of their own.",
+    "Processor and memory of a hollow relay are its part of its host's, less what the looks take of the processor. "
+    "That part was smaller in larger fleets, which is not explained; so its growth shows no more than that there is "
+    "none to see. Real relays are processes of their own.",
     "Owners: the relays that rank first for a key are asked, and one relay of 50 for a key at random at each look; clocks are shared, "
     "and intervals in which a relay said at each look that it owns a key are compared afterwards.",
 )
