Capacity: the rows of membership and control machines have the large fleet's figures

Need: both rows said that nothing exists, with a marked place for the measurement. Change: a part of benchmarks.capacity reads the table of docs/measurements/fleet_scale.md, which its own benchmark writes, and keeps the figures with that command and the commit of the page; a row or a value in another form is an error.

--- a/benchmarks/capacity/__main__.py
+++ b/benchmarks/capacity/__main__.py
@@ -18,6 +18,7 @@
     "control": "control_slopes",
     "hollow": "hollow",
     "connections": "connections",
+    "scale": "scale_figures",
 }
 
 
--- a/benchmarks/capacity/control_roles.py
+++ b/benchmarks/capacity/control_roles.py
@@ -187,15 +187,17 @@
     """Machines that are set aside for control."""
     each = d.RELAYS / d.CONTROL_MACHINES
     return Role(
-        "control machine", True, "marked place: what it holds is measured by `benchmarks/fleet_scale`, not run yet", "none yet",
+        "control machine", True, "the sessions of its relays, its region's roster, the rosters of all others, the shared map",
+        "`violetdoor/control`: groups of four or five a region, by `benchmarks/fleet_scale` with all on one machine",
         (
             Row("relays of one machine", "", reckoned(each, f"{d.RELAYS:,} / {d.CONTROL_MACHINES}")),
-            Row("bytes a s if all its relays spend their budget on it", "B/s",
-                reckoned(each * d.BYTES_A_SECOND, f"{each:.1f} x {d.BYTES_A_SECOND:,}")),
+            Row("processor, the most", "cores", m.figure("scale_machine_processor"), 1.0),
+            Row("memory, the most", "MiB", m.figure("scale_machine_memory"), 512.0),
             Row("restarts a s that one machine sees", "1/s",
                 reckoned(RESTART_RATE / d.CONTROL_MACHINES, f"{RESTART_RATE:.4f} / {d.CONTROL_MACHINES}")),
         ),
-        "unknown until it exists", "unknown until it exists", "there is none",
+        "rack and zone, a release's restarts, a cut and its healing: `docs/measurements/fleet_scale.md`",
+        "not looked for: one machine bore all of its region's sessions in no run",
     )  # fmt: skip
 
 
@@ -203,9 +205,22 @@
     """Membership of more relays than one view holds."""
     return Role(
         "membership beyond one flat view", True,
-        "marked place: bytes, processor, memory and times are to come from `benchmarks/fleet_scale`, not run yet", "none yet",
-        (Row("relays to hold", "", reckoned(d.RELAYS, "all"), limits.VIEW_MEMBERS),),
-        "unknown until it exists", "unknown until it exists", "there is none",
+        "at a relay: its region's roster, counts of the other regions, the shared map, one session",
+        "`violetdoor/control`: sessions at the control group of the region (`docs/design/fleet-scale.md`)",
+        (
+            Row("bytes at rest", "B/s", m.figure("scale_bytes_rest"), d.BYTES_A_SECOND),
+            Row("bytes on an ordinary day", "B/s", m.figure("scale_bytes_day"), d.BYTES_A_SECOND),
+            Row("processor of a real relay, all its parts", "cores", m.figure("scale_processor"), d.CORE_PART),
+            Row("memory that it adds", "MiB", m.figure("scale_memory"), d.MEMORY_BYTES / 2**20),
+            Row("a death known everywhere, p99", "s", m.figure("scale_death_everywhere"), d.CHANGE_WITHIN_S),
+            Row("a rack lost, known in its region", "s", m.figure("scale_rack")),
+            Row("a zone lost, known in its region", "s", m.figure("scale_zone")),
+            Row("a restart is in, at 100 times the day's pace, p99", "s", m.figure("scale_restart")),
+            Row("a region heals: one roster everywhere", "s", m.figure("scale_healing")),
+            Row("a region heals: most bytes of one relay", "B/s", m.figure("scale_bytes_healing"), 5.0 * d.BYTES_A_SECOND),
+        ),
+        "rows; a release was not played, restarts at 100 times the day's pace were",
+        "not looked for: a relay's bytes grow by under 1% from 700 to 5,600 relays; a roster of one region holds 4,096",
     )  # fmt: skip
 
 
--- a/benchmarks/capacity/records.py
+++ b/benchmarks/capacity/records.py
@@ -59,10 +59,12 @@
     figures: dict[str, Figure] = {}
 
     def keep(self, found: Iterable[Series | Figure], command: str, machine: str) -> None:
-        """Take in what a part has measured, with where it comes from."""
+        """Take in what a part has measured, with where it comes from, unless the part says so itself."""
         revision = current_revision()
         for one in found:
-            signed = msgspec.structs.replace(one, command=command, revision=revision, measured_on=machine)
+            signed = msgspec.structs.replace(
+                one, command=one.command or command, revision=one.revision or revision, measured_on=machine
+            )
             if isinstance(signed, Series):
                 self.series[signed.name] = signed
             else:
@@ -87,6 +89,11 @@
     return head + "+" * bool(changed)
 
 
+def revision_of(path: Path) -> str:
+    """The commit that last wrote a file."""
+    return _git("log", "-1", "--format=%h", "--", str(path))
+
+
 def _git(*args: str) -> str:
     done = subprocess.run(["git", *args], cwd=ROOT, capture_output=True, text=True)
     return done.stdout.strip()
--- /dev/null
+++ b/benchmarks/capacity/scale_figures.py
@@ -0,0 +1,68 @@
+"""Figures of the large fleet: what `python -m benchmarks.fleet_scale --write` left on its page."""
+
+from __future__ import annotations
+
+import re
+
+from msgspec.structs import replace
+
+from benchmarks.capacity.records import ROOT, Figure, revision_of
+
+COMMAND = "python -m benchmarks.fleet_scale --write"
+PAGE = ROOT / "docs" / "measurements" / "fleet_scale.md"
+# Names of the store by the titles of the page's table.
+TITLES = {
+    "bytes of a relay at rest": "scale_bytes_rest",
+    "bytes of a relay on an ordinary day": "scale_bytes_day",
+    "processor of a real relay, all its parts": "scale_processor",
+    "memory that the attachment adds to a real relay": "scale_memory",
+    "a death known everywhere, p99": "scale_death_everywhere",
+    "a rack of 40 gone at once, known in its region, the last one": "scale_rack",
+    "a zone of 233 gone at once, known in its region, the last one": "scale_zone",
+    "a restart is in, at 100 times the day's pace, p99": "scale_restart",
+    "all relays know one roster of each region after the healing": "scale_healing",
+    "most bytes of one relay after the healing": "scale_bytes_healing",
+    "processor of a control machine, the most at rest, in restarts or from then on": "scale_machine_processor",
+    "memory of a control machine, the most": "scale_machine_memory",
+}
+# The page's units, as the store has them.
+UNITS = {
+    "KB/s": ("B/s", 1000.0),
+    "%": ("cores", 0.01),
+    "MiB": ("MiB", 1.0),
+    "s": ("s", 1.0),
+}
+VALUE = re.compile(r"(-?[\d.,]+) ?(KB/s|%|MiB|s)")
+
+
+class PageFormatError(ValueError):
+    """The page lacks a row, or has a value in another form."""
+
+
+def figures(text: str) -> list[Figure]:
+    """The rows of the page's table that the capacity page needs. Raises PageFormatError."""
+    found = []
+    for line in text.splitlines():
+        cells = [cell.strip() for cell in line.strip("|").split("|")]
+        if line.startswith("|") and cells[0] in TITLES:
+            found.append(_figure(cells))
+    missing = set(TITLES.values()) - {figure.name for figure in found}
+    if missing:
+        raise PageFormatError(f"no row for {', '.join(sorted(missing))}")
+    return found
+
+
+def _figure(cells: list[str]) -> Figure:
+    title, _, _, measured, samples = cells[:5]
+    match = VALUE.fullmatch(measured)
+    if match is None:
+        raise PageFormatError(f"{title}: found {measured!r}")
+    unit, factor = UNITS[match[2]]
+    value = float(match[1].replace(",", "")) * factor
+    return Figure(TITLES[title], title, unit, value, value, value, int(samples))
+
+
+def measure(quick: bool) -> list[Figure]:
+    """Take the figures over; the measurement itself is `python -m benchmarks.fleet_scale --write`."""
+    revision = revision_of(PAGE)
+    return [replace(figure, command=COMMAND, revision=revision) for figure in figures(PAGE.read_text())]
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import math
+import re
 from collections.abc import Callable, Sequence
 from random import Random
 
 import pytest
 from msgspec import structs
 
-from benchmarks.capacity import page
+from benchmarks.capacity import page, scale_figures
 from benchmarks.capacity.fits import GROWTH, FitError, Form, fit, judge
 from benchmarks.capacity.needs import Kind, Measured
 from benchmarks.capacity.records import Point, Series, Store, load
@@ -100,3 +101,16 @@
     within = Measured(Store({"steep": steep})).at("steep", 300)
     assert within.kind is Kind.MEASURED and within.value == 310.0
     assert Measured(Store({"steep": steep})).breaks_at("steep", 260.0) == 250.0
+
+
+def test_the_large_fleets_page_is_read_whole_or_refused() -> None:
+    text = scale_figures.PAGE.read_text()
+    found = {figure.name: figure for figure in scale_figures.figures(text)}
+    assert set(found) == set(scale_figures.TITLES.values())
+    assert found["scale_bytes_rest"].unit == "B/s" and 0 < found["scale_bytes_rest"].value < 6000
+    with pytest.raises(scale_figures.PageFormatError, match="scale_restart"):
+        scale_figures.figures(text.replace("| a restart is in", "| a restart was in"))
+    with pytest.raises(scale_figures.PageFormatError, match="memory of a control machine"):
+        scale_figures.figures(
+            re.sub(r"(\| memory of a control machine.*) MiB( \| \d+ \|)", r"\1 much\2", text)
+        )
