--- a/lynxdeck/policy.py
+++ b/lynxdeck/policy.py
@@ -1,7 +1,6 @@
 """All decisions of a node; its types stand in lynxdeck/interface.py, what it keeps in lynxdeck/records.py.
 
-After King, Song and Dias: forecast each tenant's load, budget guarantees first and spare by priority, limit,
-pace, place by weighted round robin. docs/design.md has the departures.
+After King, Song and Dias: forecast, budget, limit, pace, weighted round robin; departures: docs/design.md.
 """
 
 import heapq
@@ -22,11 +21,11 @@
 TYPICAL, OVERLOAD = 0.6, 1.1  # where nothing reports load: the fleet's, that of a server with late messages
 LOAD_CLIP, LATE = 1.5, 0.3  # most of a report in the fleet's mean; share timed out that is not one server's
 CONTENDED, ROOM = 0.64, 0.75  # load over capacity: of the fleet, from which budgets bind; to fill up to
-PACE = 200.0  # ms that a usual connection waits per budget over
+PACE, TOLD = 200.0, 1_200.0  # ms that a usual connection waits per budget over; that a told delay holds
+RETRY_PAUSE, RETRY_LEAST = 100_000.0, 5  # ms, over connections held, that a reset bars returning clients
 TURNS, LOOKS = 4, 2  # turns that one placement looks at; where a probe has only its time to tell
 FRESH, RECENT, BARRED = 250.0, 1_000.0, 1_500.0  # ms: a report is new; is not yet old; bars a full server
-OWN_MOST = 0.3  # load over capacity own sends may count for: a node with few connections guesses it badly
-COLD_PART = 0.4  # part used of the multiple at which a cold server falls: the rest is for chance
+OWN_MOST, COLD_PART = 0.3, 0.4  # load own sends may count for; part used of what fells a cold server
 PROBE_WAIT, LOOK_AGAIN = 60.0, 100.0  # ms a placement waits for probes; until it looks on for room
 HOMES, STEP_TIMED, STEP_TOLD = 5, 0.4, 0.1  # servers for a group; load to gain by the next of them
 HOMES_LESS, GROUP_COST = 0.3, 6.0  # homes less by the log of nodes; mean loads to gain where none of it is
@@ -34,7 +33,6 @@
 HEALTH_DOWN, HEALTH_UP, HEALTH_LEAST = 0.4, 1.25, 0.02  # part of turns: times a failure, an interval; least
 SLOW, SLOW_LEAST = 5.0, 25.0  # times the quickest server's set-up, and ms, from which one is overloaded
 KIND_SPREAD, PROBE_JITTER, WAY_JITTER = 1.25, 0.2, 0.3  # times its kind's quickest; ms; part of the way there
-TOLD = 1_200.0  # ms for which a delay that was told holds: it is told again each second
 OWN_PAUSE, PAUSED = 100.0, 3  # ms in which so many servers late and none in time are this node's own pause
 MOVE_ABOVE, MOVE_PAUSE, MOVE_MOST = 0.95, 2_500.0, 0.5  # load from which a server sheds; ms until seen; part
 LOOK_EACH, AVOIDED = 20, 0.2  # own connections to look at a server each interval; part of turns: failed twice
@@ -85,6 +83,7 @@
         self.fleet: float | None = None  # mean of reported load over capacity
         self.unit, self.weight = math.inf, 1.0  # load that fills a unit of listed weight, and their sum
         self.sound_at, self.quickest = -math.inf, math.inf  # when a probe was last in time; quickest set-up
+        self.retry_at = -math.inf  # when clients that come again are taken again
         self.sent, self.late, self.list_calls = 0.0, 0.0, 0  # load sent lately; share timed out; calls
         self.next_tick = now + INTERVAL * self.random.uniform(0.1, 1.0)
         self.handlers: dict[type, Callable[[Any], None]] = {
@@ -135,8 +134,6 @@
             if server.entry.state is i.ServerState.GONE or name not in listed:
                 self.servers.pop(name).ready = False
 
-    # One node, two processes: the new one starts from what the old one knows and holds.
-
     def knowledge(self) -> i.Knowledge:
         rows = [
             i.ServerKnown(s.name, s.entry.started, s.load, s.report_at, s.health, s.setup, s.quick)
@@ -145,7 +142,7 @@
         return i.Knowledge(self.fleet, self.unit, self.quickest, self.late, tuple(rows))
 
     def learn(self, event: i.Knowledge) -> None:
-        """Take over; first what a unit holds, without which cold servers would get no turn."""
+        """Start from what the process before knew; first a unit, without which cold servers get no turn."""
         self.fleet, self.late = event.fleet, event.late
         self.unit, self.quickest = event.unit or math.inf, event.quickest or math.inf
         self.list_changed(event.listed)
@@ -214,6 +211,9 @@
             self.place(request)
             return
         request.tenant.queue.append(request)
+        if event.again and self.now < self.retry_at:  # each throws out others: a storm that feeds itself
+            self.refuse(request)
+            return
         self.wait(request, self.now + event.time_left / 2)  # later there is too little time left to set up
         self.drain_queue(request.tenant)
         request.tenant.missed += 0.0 if request.admitted else request.load
@@ -250,10 +250,8 @@
             if not request.admitted:
                 self.refuse(request)
 
-    # Placement by weighted round robin.
-
     def place(self, request: Request) -> None:
-        """Look at the servers of the next turns: the request goes to the one with the most room."""
+        """Weighted round robin: of the servers of the next turns it goes to the one with the most room."""
         request.turns = self.next_turns(request)
         doubted = [s for s in request.turns if self.now - s.report_at > FRESH and self.look(s)]
         for server in doubted:
@@ -433,13 +431,13 @@
         self.out.append(i.Send(request.id, server.name, self.now + max(1.0, left), request.begin_by))
 
     def ended(self, event: i.Outcome) -> None:
-        request = self.requests.get(event.request)
-        if request is None or request.server is None:
+        if not (request := self.requests.get(event.request)) or request.server is None:
             return
         server, request.server = request.server, None
         server.open.pop(request.id, None)
         if event.result in BAD:
             self.distrust(server, event.result)
+        server.threw |= event.final and event.result is i.Result.RESET and self.look(server)
         self.late += SMOOTH_ONE * (1 - self.late) * (timed_out := event.result is i.Result.TIMEOUT)
         if event.report:
             self.report(server, event.report)
@@ -485,7 +483,9 @@
     def probed(self, event: i.Probed) -> None:
         if (server := self.servers.get(event.server)) is None:
             return
-        server.probing = False
+        threw, server.threw, server.probing = server.threw, False, False
+        if threw and event.result is i.Result.OK:  # it runs: it had too much
+            self.retry_at = self.now + RETRY_PAUSE / max(RETRY_LEAST, len(self.requests))
         if event.result is not i.Result.OK:
             self.distrust(server, i.Result.FULL if event.result is i.Result.ERROR else event.result)
         elif self.settings.probe_times:
@@ -540,11 +540,9 @@
         return (order.index(server) if server in order else len(order)), request.group or 0
 
     def note(self, event: i.Note) -> None:
-        request = self.requests.get(event.request)
-        if request is None or (server := request.server) is None:
+        if not (request := self.requests.get(event.request)) or not (server := request.server):
             return
-        # By the shortest aim, whichever connection carries the note: another's would tell a second later.
-        aim = min(c.message_aim for c in self.settings.classes.values())
+        aim = min(c.message_aim for c in self.settings.classes.values())  # whichever connection carries it
         late = event.value > aim / 2
         if event.kind is i.NoteKind.LOAD:
             if request.hinted:
--- a/lynxdeck/records.py
+++ b/lynxdeck/records.py
@@ -49,6 +49,9 @@
     moved_at: float = -math.inf
     in_order: bool = False  # has a place in the turn order
     probing: bool = False
+    threw: bool = (
+        False  # it ended a standing connection by a reset; the probe that is out tells whether it runs
+    )
     beside: tuple[float, int] = (0.0, 0)  # load, connections of another process of this node
     open: dict[int, Request] = field(default_factory=dict)
     waiting: list[Request] = field(default_factory=list)  # placements that wait for its probe
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -151,6 +151,72 @@
     assert homes[0] not in gone and set(gone) <= set(homes) and len(set(gone)) > 1
 
 
+def thrown_out(node: Node, request: int, result: i.Result = i.Result.OK) -> None:
+    """A standing connection ends by a reset; the probe that asks whether its server runs ends so."""
+    server = node.sent(request)[-1]
+    node.end(request, i.Result.RESET, final=True)
+    for p in [p for p in node.got(i.Probe) if p.server == server]:
+        node.log.remove(p)
+        node.at(node.now, i.Probed(p.server, result, 2.0))
+
+
+def taken_again(node: Node, request: int, again: bool = True) -> bool:
+    """Whether a client that comes (again) is placed; else it is answered at once."""
+    node.log = [a for a in node.log if not isinstance(a, i.Probe)]
+    node.ask(request, group=request, again=again)
+    if node.answers(request):
+        assert isinstance(node.answers(request)[0], i.Refuse)
+        return False
+    for p in node.got(i.Probe):
+        node.log.remove(p)
+        node.at(node.now, i.Probed(p.server, i.Result.OK, 2.0))
+    return bool(node.sent(request))
+
+
+def filled(held: int) -> Node:
+    node = Node(servers=8, nodes=40, probe_times=True)
+    for request in range(1, held + 1):
+        assert taken_again(node, request, again=False)
+        node.up(request)
+    return node
+
+
+def test_clients_that_come_again_wait_while_running_servers_throw_others_out() -> None:
+    """A full server throws its heaviest out, these come again elsewhere and throw out the next: it fed itself."""
+    node = filled(20)
+    assert taken_again(node, 100)
+    thrown_out(node, 1)
+    assert not taken_again(node, 101)
+    assert taken_again(node, 102, again=False)  # a new client is as good as any
+    node.now += policy.RETRY_PAUSE / 20 + 1_000.0  # a relay that holds more has a smaller part of the loss
+    assert taken_again(node, 103)
+
+
+def test_few_connections_bar_returning_clients_for_a_bounded_time() -> None:
+    node = filled(1)
+    thrown_out(node, 1)
+    assert not taken_again(node, 101)
+    node.now += policy.RETRY_PAUSE / policy.RETRY_LEAST + 1.0
+    assert taken_again(node, 102)
+
+
+@pytest.mark.parametrize("result", [i.Result.UNREACHABLE, i.Result.TIMEOUT, i.Result.RESET])
+def test_the_clients_of_a_server_that_died_are_taken_at_once(result: i.Result) -> None:
+    """A lost zone sends its clients to all relays together: nobody is in their way."""
+    node = filled(8)
+    thrown_out(node, 1, result)
+    assert taken_again(node, 101)
+
+
+def test_an_attempt_that_breaks_before_it_stands_bars_nobody() -> None:
+    node = filled(8)
+    assert taken_again(node, 50, again=False)
+    node.end(50, i.Result.RESET)
+    for p in node.got(i.Probe):
+        node.at(node.now, i.Probed(p.server, i.Result.OK, 2.0))
+    assert taken_again(node, 101)
+
+
 def test_where_servers_report_their_load_the_first_home_with_room_stays_the_first() -> None:
     node = Node(servers=8, nodes=40, probes=True)
     homes = [s.name for s in node.balancer.order(7)]
