--- a/review/2/case.py
+++ b/review/2/case.py
@@ -79,8 +79,10 @@
         confirmed = {
             number for number, is_ok in enumerate(acknowledgements) if is_ok and number < flushed_count
         }
-        lost = sorted(confirmed - set(delivered))
+        lost = sorted(confirmed - {int(payload) for payload in cluster.run_payloads})
+        never_delivered = len(confirmed - set(delivered))
         text = f"{len(confirmed)} of {PUBLICATIONS} answered +OK and flushed, of these {len(lost)} never run"
+        text += f" and {never_delivered} never delivered"
         record.add("case", f"{text}: {lost}")
         print(text)
         return not lost
--- a/review/standins.py
+++ b/review/standins.py
@@ -193,6 +193,7 @@
             head_size = int(arguments[-2]) if operation == b"HPUB" else 0
             text = body[head_size:].decode()
             self.cluster.record.add(connection.name, f"runs {operation.decode()} {text}")
+            self.cluster.run_payloads.append(text)
             self.cluster.publish(arguments[0].decode(), body, head_size)
 
 
@@ -203,6 +204,7 @@
         """Start the servers."""
         self.record = record
         self.lock = threading.Lock()
+        self.run_payloads: list[str] = []  # of the publications that any server ran, in their order
         self.servers = [NatsServer(self, f"gate-{number + 1}") for number in range(size)]
 
     def publish(self, subject: str, body: bytes, head_size: int) -> None:
