NATS: acknowledge a publication only after its server has confirmed it

Cause: ClientOperations._execute queued +OK when a publication was queued for the server, and ServerBinding.resolve_unconfirmed gave up what has no id in silence and asked the client's PINGs again on the next server, whose PONG says nothing of what the lost server had.

Ruled out: sending publications without an id again (nobody could tell the second copy: a duplicate), adding an id (the recorded wire pins that messages pass unchanged, and servers without headers would not take it), leaving out the PONG alone (clients count PONGs, so each later flush would be answered by the wrong one).

Change: AnswerQueue holds the answers in the order of the operations until their outcome is known. A publication succeeds by a server's PONG, which the relay asks for at once for a verbose client. A lost one is answered -ERR 'Stale Connection' in verbose mode; otherwise the PONG that would confirm it is not sent and the session ends with that error, on which client libraries connect anew. A 503 on the reply subject counts as the answer where the client is not verbose. Answers due are bounded at 4,096; PINGs to a server that does not answer were not bounded at all.

test_retried_publications_reach_a_subscriber_once held the old promise: it wanted a PONG behind a lost publication. It now wants the PONG of the PING before that publication, and the error for the one behind it; all else is as it was.

--- a/tests/test_nats.py
+++ b/tests/test_nats.py
@@ -11,12 +11,15 @@
 from collections import Counter
 from collections.abc import AsyncIterator
 from pathlib import Path
+from typing import Any
 
 import nats
 import pytest
 from nats.aio.msg import Msg
 from standins import NatsServer, Reader, Relay, Writer, relay, run, wait_until
 
+from violetdoor.fronts.nats.client_operations import MAX_PENDING_ANSWERS
+
 CONFIG = """
 listen = "127.0.0.1:0"
 {discovery}
@@ -39,9 +42,12 @@
 
 
 def write(
-    tmp_path: Path, *servers: NatsServer, options: str = "", deadline: int = 3000, discovery: str = ""
-) -> Path:
+    tmp_path: Path, *servers: NatsServer, options: str = "", deadline: int = 3000, discovery: str = "",
+    ping_interval: float = 0.1, silence: float = 1,
+) -> Path:  # fmt: skip
     text = CONFIG.format(options=options, deadline=deadline, discovery=discovery)
+    text = text.replace("ping_interval = 0.1", f"ping_interval = {ping_interval}")
+    text = text.replace("silence = 1", f"silence = {silence}")
     text += "".join(f'[[servers]]\naddr = "{s.address}"\n' for s in servers)
     path = tmp_path / "nats.toml"
     path.write_text(text)
@@ -49,10 +55,8 @@
 
 
 @contextlib.asynccontextmanager
-async def start_nats_relay(
-    tmp_path: Path, *servers: NatsServer, options: str = "", deadline: int = 3000, discovery: str = ""
-) -> AsyncIterator[Relay]:
-    path = write(tmp_path, *servers, options=options, deadline=deadline, discovery=discovery)
+async def start_nats_relay(tmp_path: Path, *servers: NatsServer, **settings: Any) -> AsyncIterator[Relay]:
+    path = write(tmp_path, *servers, **settings)
     async with relay("--config", str(path)) as it:
         yield it
 
@@ -179,15 +183,18 @@
             first.withholds_pongs = True
             for n in range(30):
                 writer.publish(f"with-{n}", identity=f"id-{n}")
-            writer.publish("plain")
             writer.publish("asks", reply="inbox")
+            writer.send(b"PING")
+            writer.publish("plain")
             await wait_until(lambda: len(first.published) == 32)
             await wait_until(lambda: len(other.published) == 30)
             first.withholds_pongs = False
-            lines = [*await writer.flush(), *await writer.flush()]
-            assert [line for line in lines if line.startswith((b"HMSG", b"NATS"))] == [
-                b"HMSG inbox 9 16 16", b"NATS/1.0 503",
-            ]  # fmt: skip
+            # The PONG to the first PING confirms the publications before it. One to the next would confirm "plain".
+            lines = [await writer.line() for _ in range(4)]
+            assert lines == [b"HMSG inbox 9 16 16", b"NATS/1.0 503", b" ", b" "]
+            assert await writer.line() == b"PONG"
+            writer.send(b"PING")
+            assert [await writer.line(), await writer.line()] == [b"-ERR 'Stale Connection'", b""]
             other.publish(b"feed", b"last")
             first.publish(b"none", b"")
             lines = []
@@ -205,6 +212,130 @@
     run(test)
 
 
+def verbose_answers(lines: list[bytes]) -> list[bytes]:
+    """Return the answers to publications among a verbose client's lines."""
+    return [line for line in lines if line == b"+OK" or line.startswith(b"-ERR")]
+
+
+def test_publications_acknowledged_to_a_verbose_client_have_run(tmp_path: Path) -> None:
+    """Guards against a +OK for a publication that is lost with its server, and a PONG that confirms it."""
+
+    async def test() -> None:
+        peers: list[NatsServer] = []
+        async with (
+            NatsServer(peers) as one,
+            NatsServer(peers) as two,
+            start_nats_relay(tmp_path, one, two) as it,
+        ):
+            client = await Client.connect(it, verbose=True)
+            client.send(b"SUB inbox 9")
+            await client.flush()
+            first, other = (one, two) if one.subs else (two, one)
+            for n in range(20):
+                client.publish(f"{n}")
+            answers = verbose_answers(await client.flush())
+            first.is_unresponsive = True
+            for n in range(20, 30):
+                client.publish(f"{n}")
+                client.send(b"PING")
+            client.send(b"UNSUB 5")
+            lines: list[bytes] = []
+            while lines.count(b"PONG") < 10:
+                lines.append(await client.line())
+            answers += verbose_answers([*lines, *await client.flush()])
+            for n in range(30, 40):
+                client.publish(f"{n}")
+            answers += verbose_answers(await client.flush())
+            run_texts = {int(text) for text in one.published + two.published}
+            assert answers[:20] == [b"+OK"] * 20
+            assert answers[20:30] == [b"-ERR 'Stale Connection'"] * 10
+            assert answers[30:] == [b"+OK"] * 11, "the UNSUB and ten publications"
+            assert run_texts == set(range(20)) | set(range(30, 40))
+            # Each answer stands before the PONG that confirms its publication.
+            assert [line for line in lines if line != b"+OK"] == [b"-ERR 'Stale Connection'", b"PONG"] * 10
+            assert any(other.subs.values()), "the client's subscription"
+
+    run(test)
+
+
+def test_verbose_client_that_waits_for_each_answer_is_not_slowed(tmp_path: Path) -> None:
+    """Guards against a +OK that waits for the relay's next periodic PING."""
+
+    async def test() -> None:
+        async with (
+            NatsServer() as server,
+            start_nats_relay(tmp_path, server, ping_interval=3600, silence=3600) as it,
+        ):
+            client = await Client.connect(it, verbose=True)
+            await client.flush()
+            for n in range(100):
+                client.publish(f"{n}")
+                client.publish(f"again {n}")
+                assert [await client.line(), await client.line()] == [b"+OK", b"+OK"]
+            assert len(server.published) == 200
+
+    run(test)
+
+
+def test_nats_py_client_connects_anew_after_a_publication_was_lost(tmp_path: Path) -> None:
+    """Guards against a flush that confirms a lost publication, and an error on which the library closes."""
+
+    async def test() -> None:
+        peers: list[NatsServer] = []
+        async with (
+            NatsServer(peers) as one,
+            NatsServer(peers) as two,
+            start_nats_relay(tmp_path, one, two) as it,
+        ):
+            client = await nats.connect(f"nats://{it.address[0]}:{it.address[1]}", reconnect_time_wait=0.05)
+            feed = await client.subscribe("feed")
+            await client.flush()
+            first = one if any(one.subs.values()) else two
+            first.is_unresponsive = True
+            await client.publish("feed", b"lost")
+            await client.flush(8)  # the library may send this PING before the publication
+            with pytest.raises(nats.errors.FlushTimeoutError):
+                await client.flush(2)
+            await wait_until(lambda: client.stats["reconnects"] == 1 and client.is_connected)
+            first.is_unresponsive = False
+            await client.publish("feed", b"new")
+            assert (await feed.next_msg(5)).data == b"new"
+            await client.close()
+
+    run(test)
+
+
+class PingCounter(NatsServer):
+    """Answers PINGs until it is unresponsive; counts those that come after."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.unanswered_pings = 0
+
+    def operate(self, op: bytes, args: list[bytes], body: bytes, line: bytes, writer: Writer,
+                subscriptions: dict[bytes, list[Any]]) -> None:  # fmt: skip
+        if op == b"PING" and self.withholds_pongs:
+            self.unanswered_pings += 1
+        super().operate(op, args, body, line, writer, subscriptions)
+
+
+def test_answers_owed_to_a_client_are_bounded(tmp_path: Path) -> None:
+    """Guards against memory that grows with the PINGs of a client whose server does not answer."""
+
+    async def test() -> None:
+        async with PingCounter() as server, start_nats_relay(tmp_path, server, silence=30) as it:
+            client = await Client.connect(it)
+            await client.flush()
+            server.withholds_pongs = True
+            client.send(*[b"PING"] * 20_000)
+            await wait_until(lambda: server.unanswered_pings >= MAX_PENDING_ANSWERS)
+            await client.writer.drain()
+            await it.counters()
+            assert server.unanswered_pings <= MAX_PENDING_ANSWERS + 1, "one PING is the relay's"
+
+    run(test)
+
+
 def test_unsub_counts_and_queue_groups_survive_a_change_of_server(tmp_path: Path) -> None:
     async def test() -> None:
         peers: list[NatsServer] = []
--- a/violetdoor/fronts/nats/client.py
+++ b/violetdoor/fronts/nats/client.py
@@ -10,12 +10,14 @@
 import orjson
 
 from violetdoor.fronts.nats import frames
+from violetdoor.fronts.nats.answers import AnswerQueue
 from violetdoor.fronts.nats.errors import (
     AUTHENTICATION_TIMEOUT,
     NO_CAPACITY,
     PARSER_ERROR,
     STALE_CONNECTION,
     TOO_MANY_CONNECTIONS,
+    UNCONFIRMED_PUBLICATIONS,
     ClientDeniedError,
     ProtocolError,
     SessionEnd,
@@ -45,6 +47,7 @@
         "_options",
         "_pending_read",
         "_prefetched_frames",
+        "answers",
         "ended",
         "front",
         "identity",
@@ -64,6 +67,7 @@
         self.sock = sock
         self.reader = FrameReader(sock, CLIENT_OPERATIONS, options.max_payload)
         self.out = Outbox(sock, options.max_pending, options.write_deadline)
+        self.answers = AnswerQueue(self.out, lambda: self.end(UNCONFIRMED_PUBLICATIONS))
         self.ended: asyncio.Future[SessionEnd] = asyncio.get_running_loop().create_future()
         self.identity: ClientIdentity | None = None  # None until the first frame is read
         self.name = ""  # user and name from its CONNECT
@@ -207,6 +211,7 @@
         if self._pending_read is not None:
             self._pending_read.cancel()
             await asyncio.gather(self._pending_read, return_exceptions=True)
+        self.answers.fail_pending()
         if end.error_text:
             self.front.counts["nats_errors"] += 1
             if end.drops_queued:
--- a/violetdoor/fronts/nats/client_operations.py
+++ b/violetdoor/fronts/nats/client_operations.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from violetdoor.fronts.nats import frames
+from violetdoor.fronts.nats.answers import OK
 from violetdoor.fronts.nats.errors import (
     END_WITHOUT_ERROR,
     INTERNAL_ERROR,
@@ -31,6 +32,7 @@
 log = logging.getLogger("violetdoor.nats")
 
 MAX_UNANSWERED_PINGS = 64  # PINGs of a client without a server before its next operation waits
+MAX_PENDING_ANSWERS = 4096  # answers owed to a client before its next operation waits
 SUB_ARGUMENTS_WITH_QUEUE = 3
 UNSUB_ARGUMENTS_WITH_COUNT = 2
 
@@ -72,23 +74,33 @@
             client.end(end)
 
     async def _wait_until_executable(self, frame: Frame) -> bool:
-        """Wait for a server if the operation needs one; False if the client disconnects meanwhile.
+        """Wait for a server, and while too many answers are due; False if the client disconnects meanwhile.
 
-        Operations that only change the client's state need none. Guards against a disconnect behind
+        Operations that only change the client's state need no server. Guards against a disconnect behind
         operations that stay unread without a server: the session would be placed after its client has gone.
         """
-        binding = self._binding
-        is_publication = frame.operation in ("PUB", "HPUB")
-        while binding.connection is None and (
-            is_publication or binding.unanswered_pings >= MAX_UNANSWERED_PINGS
-        ):
+        while self._must_wait(frame):
+            waiting_for = self._binding.connected
+            if self._binding.connection is not None:
+                waiting_for = self._binding.confirmed
+                waiting_for.clear()
+                self._binding.request_confirmation()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(DISCONNECT_POLL_INTERVAL_SECONDS):
-                    await binding.connected.wait()
-            if binding.connection is None and is_peer_closed(self._client.sock):
+                    await waiting_for.wait()
+            if self._binding.connection is None and is_peer_closed(self._client.sock):
                 return False
         return True
 
+    def _must_wait(self, frame: Frame) -> bool:
+        """Return whether this operation cannot be executed yet."""
+        binding = self._binding
+        if len(self._client.answers) >= MAX_PENDING_ANSWERS:
+            return True
+        if binding.connection is not None:
+            return False
+        return frame.operation in ("PUB", "HPUB") or len(binding.unanswered_pings) >= MAX_UNANSWERED_PINGS
+
     async def _apply_backpressure(self) -> None:
         """Wait while too many bytes of the client's publications are unconfirmed or not written yet."""
         binding = self._binding
@@ -96,8 +108,7 @@
         max_unconfirmed = self._front.options.max_unconfirmed_bytes
         connection = binding.connection
         while connection is not None and journal.size_bytes > max_unconfirmed:
-            if not connection.pending_pings:
-                connection.send_ping(journal.added_count)
+            binding.request_confirmation()
             binding.confirmed.clear()
             await binding.confirmed.wait()
             connection = binding.connection
@@ -117,36 +128,47 @@
                 self._client.handle_connect(frame)
                 is_accepted = True
             case "PUB" | "HPUB":
-                is_accepted = self._publish(frame)
+                self._publish(frame)
+                return
             case "SUB":
                 is_accepted = self._subscribe(frame)
             case _:
                 self._unsubscribe(frame)
                 is_accepted = True
         if is_accepted and self._client.is_verbose:
-            self._client.out.enqueue(b"+OK\r\n")
+            self._client.answers.add_resolved(OK)
 
     def _ping(self) -> None:
         """Forward a PING, so that the server's PONG confirms the client's earlier operations."""
         binding = self._binding
+        answer = self._client.answers.add_pong()
         if binding.connection is None:
-            binding.unanswered_pings += 1
+            binding.unanswered_pings.append(answer)
         else:
-            binding.connection.send_ping(binding.journal.added_count, is_from_client=True)
+            binding.connection.send_ping(binding.journal.added_count, answer=answer)
 
-    def _publish(self, frame: Frame) -> bool:
-        """Publish a message; False if its subject is invalid."""
+    def _reject(self, error_text: str) -> None:
+        """Answer an operation that is not executed; in verbose mode in the order of the operations."""
+        line = frames.error(error_text)
+        if self._client.is_verbose:
+            self._client.answers.add_resolved(line)
+        else:
+            self._client.out.enqueue(line)
+
+    def _publish(self, frame: Frame) -> None:
+        """Publish a message; it is answered once a server has confirmed it."""
         self._counts["publications"] += 1
         if self._front.gate is not None:
             self._front.gate.record_forwarded()
         if not frames.is_valid_subject(frame.arguments[0], allow_wildcards=False):
-            self._client.out.enqueue(frames.error(INVALID_SUBJECT))
-            return False
-        binding = self._binding
-        binding.journal.add(frame)
+            self._reject(INVALID_SUBJECT)
+            return
+        binding, client = self._binding, self._client
+        binding.journal.add(frame, client.answers.add_publication(is_verbose=client.is_verbose))
         if binding.connection is not None:
             binding.connection.out.enqueue(frame.raw)
-        return True
+            if client.is_verbose:  # it may wait for this answer before it sends more
+                binding.request_confirmation()
 
     def _subscribe(self, frame: Frame) -> bool:
         """Add a subscription; False if it was rejected."""
@@ -154,12 +176,12 @@
         subject, sid = frame.arguments[0], frame.arguments[-1]
         queue = frame.arguments[1] if len(frame.arguments) == SUB_ARGUMENTS_WITH_QUEUE else b""
         if not frames.is_valid_subject(subject, allow_wildcards=True):
-            self._client.out.enqueue(frames.error(INVALID_SUBJECT))
+            self._reject(INVALID_SUBJECT)
             return False
         if sid in binding.subscriptions:
             return True
         if len(binding.subscriptions) >= self._front.options.max_subscriptions:
-            self._client.out.enqueue(frames.error(TOO_MANY_SUBSCRIPTIONS))
+            self._reject(TOO_MANY_SUBSCRIPTIONS)
             return False
         self._counts["subscriptions"] += 1
         subscription = Subscription(sid, subject, queue)
--- a/violetdoor/fronts/nats/errors.py
+++ b/violetdoor/fronts/nats/errors.py
@@ -43,4 +43,5 @@
 
 
 END_WITHOUT_ERROR = SessionEnd()
+UNCONFIRMED_PUBLICATIONS = SessionEnd(STALE_CONNECTION)  # on this text client libraries connect anew
 SLOW_CLIENT = SessionEnd(SLOW_CONSUMER, drops_queued=True)
--- a/violetdoor/fronts/nats/server_binding.py
+++ b/violetdoor/fronts/nats/server_binding.py
@@ -6,9 +6,10 @@
 from typing import TYPE_CHECKING
 
 from violetdoor.fronts.nats import frames
-from violetdoor.fronts.nats.state import PublicationJournal, Subscription
+from violetdoor.fronts.nats.state import Publication, PublicationJournal, Subscription
 
 if TYPE_CHECKING:
+    from violetdoor.fronts.nats.answers import Answer
     from violetdoor.fronts.nats.client import NatsClient
     from violetdoor.fronts.nats.server_connection import ServerConnection
     from violetdoor.net.counters import Counters
@@ -34,7 +35,7 @@
         """Start without a server."""
         self.subscriptions: dict[bytes, Subscription] = {}  # by sid
         self.journal = PublicationJournal()
-        self.unanswered_pings = 0  # client PINGs that the next server has to answer
+        self.unanswered_pings: list[Answer] = []  # to client PINGs that the next server has to answer
         self.connection: ServerConnection | None = None  # the current server; None if there is none
         self.connected = asyncio.Event()
         self.confirmed = asyncio.Event()  # set when the journal shrinks or the server is lost
@@ -48,9 +49,9 @@
         for publication in self.journal.unconfirmed:
             self._counts["publications_resent"] += 1
             connection.out.enqueue(publication.raw)
-        for _ in range(self.unanswered_pings):
-            connection.send_ping(self.journal.added_count, is_from_client=True)
-        self.unanswered_pings = 0
+        for answer in self.unanswered_pings:
+            connection.send_ping(self.journal.added_count, answer=answer)
+        self.unanswered_pings.clear()
         self.connection = connection
         self.connected.set()
 
@@ -60,6 +61,11 @@
         self.connected.clear()
         self.confirmed.set()
 
+    def request_confirmation(self) -> None:
+        """Send a PING for the unconfirmed publications, unless the server owes a PONG already."""
+        if self.connection is not None and self.journal.unconfirmed and not self.connection.pending_pings:
+            self.connection.send_ping(self.journal.added_count)
+
     def end_subscriptions(self, connection: ServerConnection) -> asyncio.Future[None]:
         """End all subscriptions; the future is done once the server has sent all their messages."""
         for sid in self.subscriptions:
@@ -71,18 +77,27 @@
     def resolve_unconfirmed(self, connection: ServerConnection) -> None:
         """Handle publications without a confirming PONG: only those with an id are sent again."""
         unconfirmed = self.journal.split_after_break()
-        self.unanswered_pings += sum(ping.is_from_client for ping in connection.pending_pings)
+        answers = [ping.answer for ping in connection.pending_pings if ping.answer is not None]
+        self.unanswered_pings = answers + self.unanswered_pings
         count = len(unconfirmed.resendable) + len(unconfirmed.lost)
         self._counts["publications_unconfirmed"] += count
         for publication in unconfirmed.lost:
-            sid = b""
-            if publication.reply and self._client.supports_headers:
-                sid = self._sid_of_receiver(publication.reply)
-            if sid:
-                self._counts["publications_503"] += 1
-                self._client.out.enqueue(frames.status(sid, publication.reply, NO_RESPONDERS_STATUS))
-            else:
-                self._counts["publications_given_up"] += 1
+            self._answer_lost(publication)
+
+    def _answer_lost(self, publication: Publication) -> None:
+        """Answer a publication that may or may not have reached its subscribers: it counts as failed."""
+        sid = b""
+        if publication.reply and self._client.supports_headers:
+            sid = self._sid_of_receiver(publication.reply)
+        if sid:
+            self._counts["publications_503"] += 1
+            self._client.out.enqueue(frames.status(sid, publication.reply, NO_RESPONDERS_STATUS))
+        else:
+            self._counts["publications_given_up"] += 1
+        if sid and not self._client.is_verbose:  # the status is the answer
+            self._client.answers.succeed(publication.answer)
+        else:
+            self._client.answers.fail(publication.answer)
 
     def _sid_of_receiver(self, subject: bytes) -> bytes:
         """Return the sid of the client's subscription that matches a reply subject, empty if none does."""
--- a/violetdoor/fronts/nats/server_connection.py
+++ b/violetdoor/fronts/nats/server_connection.py
@@ -12,6 +12,7 @@
 import orjson
 
 from violetdoor.balancing.events import AttemptResult
+from violetdoor.fronts.nats.answers import Answer
 from violetdoor.fronts.nats.errors import PARSER_ERROR, ProtocolError
 from violetdoor.fronts.nats.frames import SERVER_OPERATIONS, Frame, FrameReader, error_text
 from violetdoor.net.outbox import Outbox
@@ -35,7 +36,7 @@
 
     journal_mark: int
     sent_at: float
-    is_from_client: bool = False
+    answer: Answer | None = None  # the PONG owed to the client, None for a PING of the relay itself
     fence: asyncio.Future[None] | None = None  # completed by its PONG
 
 
@@ -58,11 +59,11 @@
         return bool(self.info.get("ldm"))
 
     def send_ping(
-        self, journal_mark: int, *, is_from_client: bool = False, fence: asyncio.Future[None] | None = None
+        self, journal_mark: int, *, answer: Answer | None = None, fence: asyncio.Future[None] | None = None
     ) -> None:
         """Send a PING; its PONG confirms everything that was sent before it."""
         now = asyncio.get_running_loop().time()
-        self.pending_pings.append(PendingPing(journal_mark, now, is_from_client, fence))
+        self.pending_pings.append(PendingPing(journal_mark, now, answer, fence))
         self.out.enqueue(b"PING\r\n")
 
     def unresponsive_seconds(self) -> float:
--- a/violetdoor/fronts/nats/server_reader.py
+++ b/violetdoor/fronts/nats/server_reader.py
@@ -133,11 +133,15 @@
             return
         ping = pending_pings.popleft()
         binding = self._binding
-        self._counts["publications_confirmed"] += binding.journal.confirm(ping.journal_mark)
+        confirmed = binding.journal.confirm(ping.journal_mark)
+        self._counts["publications_confirmed"] += len(confirmed)
+        self._client.answers.succeed(*(publication.answer for publication in confirmed))
         binding.confirmed.set()
         delay_ms = (self._loop.time() - ping.sent_at) * 1000
         self._front.core.message_delays.add(self._request.server, delay_ms)
-        if ping.is_from_client:
-            self._client.out.enqueue(b"PONG\r\n")
+        if ping.answer is not None:
+            self._client.answers.succeed(ping.answer)
+        if self._client.is_verbose:
+            binding.request_confirmation()
         if ping.fence is not None and not ping.fence.done():
             ping.fence.set_result(None)
--- a/violetdoor/fronts/nats/state.py
+++ b/violetdoor/fronts/nats/state.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from hashlib import blake2b
 
+from violetdoor.fronts.nats.answers import Answer
 from violetdoor.fronts.nats.frames import Frame, message_id, subscribe, unsubscribe
 
 PUBLICATION_OVERHEAD_BYTES = 128  # memory per stored publication, besides its own bytes
@@ -55,6 +56,7 @@
 class Publication:
     """A published message that no PONG has confirmed."""
 
+    answer: Answer
     message_id: bytes  # the Nats-Msg-Id, empty if there is none
     reply: bytes
     raw: bytes  # kept only if the message has an id; otherwise empty
@@ -79,26 +81,25 @@
         self.added_count = 0  # publications added so far
         self.confirmed_count = 0  # confirmed or given up among these
 
-    def add(self, frame: Frame) -> None:
-        """Add a publication that is about to be sent."""
+    def add(self, frame: Frame, answer: Answer) -> None:
+        """Add a publication that is about to be sent, and the answer that it is owed."""
         has_reply = len(frame.arguments) == ARGUMENTS_WITH_REPLY[frame.operation]
         reply = frame.arguments[1] if has_reply else b""
         dedup_id = message_id(frame.headers)
         raw = frame.raw if dedup_id else b""
-        self._append(Publication(dedup_id, reply, raw, len(frame.raw) + PUBLICATION_OVERHEAD_BYTES))
+        self._append(Publication(answer, dedup_id, reply, raw, len(frame.raw) + PUBLICATION_OVERHEAD_BYTES))
 
     def _append(self, publication: Publication) -> None:
         self.unconfirmed.append(publication)
         self.added_count += 1
         self.size_bytes += publication.size
 
-    def confirm(self, mark: int) -> int:
-        """Remove the publications up to the PING's journal mark; return their number."""
-        count = mark - self.confirmed_count
-        for _ in range(count):
-            self.size_bytes -= self.unconfirmed.popleft().size
+    def confirm(self, mark: int) -> list[Publication]:
+        """Remove the publications up to the PING's journal mark; return them."""
+        confirmed = [self.unconfirmed.popleft() for _ in range(mark - self.confirmed_count)]
+        self.size_bytes -= sum(publication.size for publication in confirmed)
         self.confirmed_count = max(self.confirmed_count, mark)
-        return max(0, count)
+        return confirmed
 
     def split_after_break(self) -> UnconfirmedPublications:
         """Keep the publications with an id for resending and give up the others; return both."""
