NATS: recognize a second copy of a message for 60 s, not for 128 messages

Cause: the relay sends the unconfirmed publications again after 2 to 3 s, and the first server runs the copies in its sockets when it goes on. Subscription.is_duplicate knew the last 128 ids of a subscription: 12.8 s at ten messages a second.

Change: RecentMessageIds keeps sorted 8-byte hashes in two generations of at least 60 s (over twice the longest hang on record, 25 s), and the last repeat_window ids however old. All subscriptions of a relay keep 262,144 ids together; beyond that the older generation goes early, which message_ids_forgotten_early counts. A connection that is given up because its server is silent is reset, so that a server that does not read gets nothing later than its kernel has.

--- a/tests/test_nats.py
+++ b/tests/test_nats.py
@@ -9,7 +9,8 @@
 import socket
 import struct
 from collections import Counter
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -212,6 +213,121 @@
     run(test)
 
 
+class StoppableNatsServer(NatsServer):
+    """While it is stopped it does nothing; what reached its sockets by then is executed when it continues."""
+
+    def __init__(self, peers: list[NatsServer]) -> None:
+        super().__init__(peers)
+        self.is_stopped = False
+        self.backlog: list[Callable[[], None]] = []
+
+    def operate(self, op: bytes, args: list[bytes], body: bytes, line: bytes, writer: Writer,
+                subscriptions: dict[bytes, list[Any]]) -> None:  # fmt: skip
+        execute = partial(super().operate, op, args, body, line, writer, subscriptions)
+        if self.is_stopped:
+            self.backlog.append(execute)
+        else:
+            execute()
+
+    def resume(self) -> None:
+        self.is_stopped = False
+        for execute in self.backlog:
+            execute()
+
+
+def test_server_that_continues_late_delivers_no_message_twice(tmp_path: Path) -> None:
+    """Guards against duplicates from a stopped server that runs its copies after many other messages."""
+
+    async def test() -> None:
+        peers: list[NatsServer] = []
+        async with (
+            StoppableNatsServer(peers) as one,
+            StoppableNatsServer(peers) as two,
+            start_nats_relay(tmp_path, one, two) as it,
+        ):
+            reader, writer = await Client.connect(it), await Client.connect(it)
+            reader.send(b"SUB feed 7")
+            writer.send(b"SUB inbox 9")
+            await reader.flush()
+            await writer.flush()
+            first = next(s for s in (one, two) if any(b"9" in subs for subs in s.subs.values()))
+            other = two if first is one else one
+            first.is_stopped = True
+            for n in range(30):
+                writer.publish(f"m{n}", identity=f"id-{n}")
+            await wait_until(lambda: len(other.published) == 30)
+            for n in range(30, 1030):
+                writer.publish(f"m{n}", identity=f"id-{n}")
+            await writer.flush()
+            first.resume()
+            assert len(first.published) == 30
+            other.publish(b"feed", b"last")
+            lines: list[bytes] = []
+            while b"last" not in lines:
+                lines.append(await reader.line())
+            seen = Counter(line for line in lines if line.startswith(b"m"))
+            assert set(seen.values()) == {1}, "duplicates"
+            assert len(seen) == 1030, "lost"
+
+    run(test)
+
+
+class UnreadNatsServer:
+    """A server with small buffers that completes handshakes and then reads nothing until it continues."""
+
+    def __init__(self) -> None:
+        self.listener = socket.socket()
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        self.listener.bind(("127.0.0.1", 0))
+        self.listener.listen()
+        self.listener.setblocking(False)
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+
+    async def shake_hands(self) -> socket.socket:
+        loop = asyncio.get_running_loop()
+        sock, _ = await loop.sock_accept(self.listener)
+        await loop.sock_sendall(sock, b'INFO {"server_id":"S","headers":true,"max_payload":1048576}\r\n')
+        received = b""
+        while b"PING\r\n" not in received:
+            received += await loop.sock_recv(sock, 4096)
+        await loop.sock_sendall(sock, b"PONG\r\n")
+        return sock
+
+
+async def read_until_closed(sock: socket.socket) -> int:
+    """Return the number of bytes that the peer's kernel still delivers."""
+    count = 0
+    with contextlib.suppress(ConnectionError):
+        while received := await asyncio.get_running_loop().sock_recv(sock, 65_536):
+            count += len(received)
+    sock.close()
+    return count
+
+
+def test_publications_that_an_abandoned_server_has_not_received_are_taken_back(tmp_path: Path) -> None:
+    """Guards against duplicates: after a graceful close the system would go on to send the first copies."""
+
+    async def test() -> None:
+        unread = UnreadNatsServer()
+        path = tmp_path / "nats.toml"
+        text = CONFIG.format(options="", deadline=3000, discovery='console = "127.0.0.1:0"')
+        path.write_text(text + f'[[servers]]\nid = "unread"\naddr = "{unread.address}"\n')
+        async with NatsServer() as other, relay("--config", str(path)) as it:
+            client = await Client.connect(it)
+            sock = await unread.shake_hands()
+            path.write_text(path.read_text() + f'[[servers]]\naddr = "{other.address}"\n')
+            it.process.send_signal(signal.SIGHUP)
+            await wait_until(lambda: it.logged("reloaded"))
+            for n in range(30):
+                client.publish("x" * 8000, identity=f"id-{n}")
+            await wait_until(lambda: len(other.published) == 30)
+            await client.flush()
+            assert await read_until_closed(sock) < 30 * 8000 / 2
+            unread.listener.close()
+
+    run(test)
+
+
 def verbose_answers(lines: list[bytes]) -> list[bytes]:
     """Return the answers to publications among a verbose client's lines."""
     return [line for line in lines if line == b"+OK" or line.startswith(b"-ERR")]
--- a/violetdoor/configuration/operator_form.py
+++ b/violetdoor/configuration/operator_form.py
@@ -52,7 +52,7 @@
     # Published by one client and not confirmed yet, before the client has to wait.
     max_unconfirmed_bytes: Count = field(default=262_144, name="unconfirmed_most")
     max_subscriptions: Count = 256  # per client
-    repeat_window: Count = 128  # message ids remembered per subscription
+    repeat_window: Count = 128  # message ids remembered per subscription at least, however old
     drain_timeout: Positive = field(default=5.0, name="leave")  # from SIGTERM until the last connection ends
 
 
--- a/violetdoor/fronts/nats/client_operations.py
+++ b/violetdoor/fronts/nats/client_operations.py
@@ -20,6 +20,7 @@
     SessionEnd,
 )
 from violetdoor.fronts.nats.frames import Frame
+from violetdoor.fronts.nats.message_ids import RecentMessageIds
 from violetdoor.fronts.nats.state import Subscription
 from violetdoor.net.outbox import SlowReaderError
 from violetdoor.net.sockets import DISCONNECT_POLL_INTERVAL_SECONDS, is_peer_closed
@@ -184,7 +185,8 @@
             self._reject(TOO_MANY_SUBSCRIPTIONS)
             return False
         self._counts["subscriptions"] += 1
-        subscription = Subscription(sid, subject, queue)
+        recent_ids = RecentMessageIds(self._front.options.repeat_window, self._front.retention_budget)
+        subscription = Subscription(sid, subject, queue, recent_ids=recent_ids)
         binding.subscriptions[sid] = subscription
         if binding.connection is not None:
             binding.connection.out.enqueue(subscription.replay())
@@ -202,7 +204,7 @@
             return
         subscription.max_messages = int(max_messages)
         if not subscription.max_messages or subscription.is_exhausted:
-            del binding.subscriptions[sid]
+            binding.remove_subscription(subscription)
             subscription.max_messages = 0
         if binding.connection is not None:
             remaining = 0
--- a/violetdoor/fronts/nats/front.py
+++ b/violetdoor/fronts/nats/front.py
@@ -21,6 +21,7 @@
 )
 from violetdoor.fronts.nats.frames import Frame, error
 from violetdoor.fronts.nats.front_protocol import ClientIdentity
+from violetdoor.fronts.nats.message_ids import RetentionBudget
 from violetdoor.fronts.nats.options import NatsOptions
 from violetdoor.fronts.nats.session import Session
 from violetdoor.net.acceptor import Acceptor
@@ -59,6 +60,7 @@
         self.server_id = os.urandom(SERVER_ID_BYTES).hex().upper()
         self.is_shutting_down = False
         self.sessions: set[Session] = set()
+        self.retention_budget = RetentionBudget(self.counts)
         self._client_ids = itertools.count(1)
         self._full_answer = self.info(0) + error(TOO_MANY_CONNECTIONS)
         listener = host.inherited_listener or listen(config.listen, reuse_port=True)
--- a/violetdoor/fronts/nats/front_protocol.py
+++ b/violetdoor/fronts/nats/front_protocol.py
@@ -11,6 +11,7 @@
 
     from violetdoor.core import Controller
     from violetdoor.fronts.nats.frames import Frame
+    from violetdoor.fronts.nats.message_ids import RetentionBudget
     from violetdoor.fronts.nats.options import NatsOptions
     from violetdoor.net.acceptor import Acceptor
     from violetdoor.net.counters import Counters
@@ -40,6 +41,7 @@
     gate: AdmissionGate | None
     options: NatsOptions
     deadlines_ms: Mapping[str, float]  # by request class
+    retention_budget: RetentionBudget
 
     @property
     def reads_first_operation(self) -> bool:
--- /dev/null
+++ b/violetdoor/fronts/nats/message_ids.py
@@ -0,0 +1,89 @@
+"""The message ids that subscriptions have delivered, by which a second copy of a message is recognized.
+
+A relay sends an unconfirmed publication again on another server. The first server may run its own copy much
+later, once it recovers. Each subscription therefore recognizes an id for `RETENTION_SECONDS` after its first
+delivery, and the last `min_count` ids however long ago that was.
+"""
+
+from __future__ import annotations
+
+from array import array
+from bisect import bisect_left
+
+from violetdoor.net.counters import Counters
+
+RETENTION_SECONDS = 60.0  # servers that hang recover within 25 s
+MAX_RETAINED_IDS = 262_144  # of all subscriptions of a relay together; 8 bytes each
+
+
+class RetentionBudget:
+    """The number of ids that all subscriptions of a relay retain, and its limit."""
+
+    def __init__(self, counts: Counters, max_ids: int = MAX_RETAINED_IDS) -> None:
+        """Start with no ids; `counts` gets the number of generations that were forgotten early."""
+        self.counts = counts
+        self.max_ids = max_ids
+        self.retained_ids = 0
+
+    @property
+    def is_exhausted(self) -> bool:
+        """Whether the limit is reached."""
+        return self.retained_ids >= self.max_ids
+
+
+class RecentMessageIds:
+    """The ids that one subscription has delivered, in two generations of at least the retention time.
+
+    Once the newer generation is old enough it becomes the older one, which is forgotten.
+    """
+
+    __slots__ = ("_budget", "_min_count", "_newer", "_newer_since", "_older")
+
+    def __init__(self, min_count: int, budget: RetentionBudget) -> None:
+        """Retain at least the last `min_count` ids, even if the budget is exhausted."""
+        self._min_count = min_count
+        self._budget = budget
+        self._newer = array("q")  # hashes, sorted
+        self._older = array("q")
+        self._newer_since = 0.0  # time of the first id of the newer generation, s
+
+    def add(self, message_id: bytes, now: float) -> bool:
+        """Retain an id; return False if it is retained already. `now` is in s."""
+        value = hash(message_id)
+        position = bisect_left(self._newer, value)
+        if _has(self._newer, position, value) or _has(self._older, bisect_left(self._older, value), value):
+            return False
+        if self._is_newer_complete(now):
+            self._start_generation()
+            position = 0
+        if not self._newer:
+            self._newer_since = now
+        self._newer.insert(position, value)
+        self._budget.retained_ids += 1
+        return True
+
+    def clear(self) -> None:
+        """Forget all ids: the subscription has ended."""
+        self._budget.retained_ids -= len(self._newer) + len(self._older)
+        self._newer = array("q")
+        self._older = array("q")
+
+    def _is_newer_complete(self, now: float) -> bool:
+        """Return whether the older generation may be forgotten."""
+        if len(self._newer) < self._min_count:
+            return False
+        if now - self._newer_since >= RETENTION_SECONDS:
+            return True
+        if self._budget.is_exhausted:
+            self._budget.counts["message_ids_forgotten_early"] += 1
+            return True
+        return False
+
+    def _start_generation(self) -> None:
+        self._budget.retained_ids -= len(self._older)
+        self._older = self._newer
+        self._newer = array("q")
+
+
+def _has(values: array[int], position: int, value: int) -> bool:
+    return position < len(values) and values[position] == value
--- a/violetdoor/fronts/nats/server_binding.py
+++ b/violetdoor/fronts/nats/server_binding.py
@@ -42,6 +42,16 @@
         self._client = client
         self._counts = counts
 
+    def remove_subscription(self, subscription: Subscription) -> None:
+        """Remove a subscription that has ended."""
+        del self.subscriptions[subscription.sid]
+        subscription.end()
+
+    def close(self) -> None:
+        """Remove all subscriptions, because the session ends."""
+        for subscription in list(self.subscriptions.values()):
+            self.remove_subscription(subscription)
+
     def resume(self, connection: ServerConnection) -> None:
         """Restore the client's state on this server, and make it the current one."""
         for subscription in self.subscriptions.values():
--- a/violetdoor/fronts/nats/server_connection.py
+++ b/violetdoor/fronts/nats/server_connection.py
@@ -129,7 +129,11 @@
             raise ProtocolError(PARSER_ERROR)
         self.info |= info
 
-    async def close(self) -> None:
-        """Close the connection without reading further data."""
+    async def close(self, *, reset: bool = False) -> None:
+        """Close the connection without reading further data.
+
+        With `reset`, data that the system has not sent yet is discarded. After a graceful close it would
+        still reach a server that is unresponsive now and recovers later.
+        """
         await self.out.close()
-        close_socket(self.sock)
+        close_socket(self.sock, reset=reset)
--- a/violetdoor/fronts/nats/server_reader.py
+++ b/violetdoor/fronts/nats/server_reader.py
@@ -111,7 +111,7 @@
             return
         subscription.received += 1
         dedup_id = frames.message_id(frame.headers)
-        if dedup_id and subscription.is_duplicate(dedup_id, self._front.options.repeat_window):
+        if dedup_id and subscription.is_duplicate(dedup_id, self._loop.time()):
             self._counts["messages_repeated"] += 1
             if subscription.max_messages:  # the server counted the duplicate: restore the count
                 lines = frames.unsubscribe(subscription.sid) + subscription.replay()
@@ -120,7 +120,7 @@
         self._counts["messages_down"] += 1
         subscription.delivered += 1
         if subscription.is_exhausted:
-            del binding.subscriptions[subscription.sid]
+            binding.remove_subscription(subscription)
         if frame.operation == "HMSG" and not client.supports_headers:
             client.out.enqueue(frames.without_headers(frame))
         else:
--- a/violetdoor/fronts/nats/session.py
+++ b/violetdoor/fronts/nats/session.py
@@ -83,6 +83,7 @@
             if operations is not None:
                 operations.cancel()
                 await asyncio.gather(operations, return_exceptions=True)
+            self.binding.close()
             await client.close(end)
 
     async def _serve(self) -> SessionEnd:
@@ -163,6 +164,7 @@
         reader = ServerReader(self.front, client, binding, handle)
         receiving = self._loop.create_task(reader.run())
         watching = self._loop.create_task(reader.watch_liveness())
+        is_abandoned = False  # the server has not ended the connection, and did not answer any more
         try:
             ends = (receiving, watching, client.ended, handle.migration_requested, self.end_requested)
             await asyncio.wait(ends, return_when=asyncio.FIRST_COMPLETED)
@@ -170,6 +172,7 @@
                 raise error  # SlowReaderError, or an internal error
             binding.suspend()
             result = await self._leave_server(handle, connection, receiving, watching)
+            is_abandoned = result is AttemptResult.RESET and not receiving.done()
             if result is None:
                 handle.attempt_ended(AttemptResult.CANCELLED, is_final=True)
                 return client.ended.result()
@@ -184,7 +187,7 @@
             for task in (receiving, watching):
                 task.cancel()
             await asyncio.gather(receiving, watching, return_exceptions=True)
-            await connection.close()
+            await connection.close(reset=is_abandoned)
         handle.attempt_ended(result, is_final=True)
         binding.resolve_unconfirmed(connection)
         return END_WITHOUT_ERROR if is_end_requested else None
--- a/violetdoor/fronts/nats/state.py
+++ b/violetdoor/fronts/nats/state.py
@@ -2,15 +2,14 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict, deque
-from dataclasses import dataclass, field
-from hashlib import blake2b
+from collections import deque
+from dataclasses import dataclass
 
 from violetdoor.fronts.nats.answers import Answer
 from violetdoor.fronts.nats.frames import Frame, message_id, subscribe, unsubscribe
+from violetdoor.fronts.nats.message_ids import RecentMessageIds
 
 PUBLICATION_OVERHEAD_BYTES = 128  # memory per stored publication, besides its own bytes
-MAX_MESSAGE_ID_BYTES = 32  # a longer id is stored as its hash
 ARGUMENTS_WITH_REPLY = {"PUB": 3, "HPUB": 4}  # number of arguments if the second one is a reply subject
 
 
@@ -24,19 +23,16 @@
     max_messages: int = 0  # ends after this many messages; 0: no limit
     delivered: int = 0  # messages to the client from all servers
     received: int = 0  # messages from the current server, including duplicates, as it counts them
-    recent_message_ids: OrderedDict[bytes, None] = field(default_factory=OrderedDict)  # oldest first
-
-    def is_duplicate(self, dedup_id: bytes, window: int) -> bool:
-        """Return whether this message id is among the last `window` delivered ones; store it as delivered."""
-        stored_id = dedup_id
-        if len(dedup_id) > MAX_MESSAGE_ID_BYTES:
-            stored_id = blake2b(dedup_id, digest_size=MAX_MESSAGE_ID_BYTES).digest()
-        if stored_id in self.recent_message_ids:
-            return True
-        self.recent_message_ids[stored_id] = None
-        if len(self.recent_message_ids) > window:
-            self.recent_message_ids.popitem(last=False)
-        return False
+    recent_ids: RecentMessageIds | None = None  # delivered messages; None: duplicates are kept
+
+    def is_duplicate(self, dedup_id: bytes, now: float) -> bool:
+        """Return whether a message with this id was delivered recently; retain the id. `now` is in s."""
+        return self.recent_ids is not None and not self.recent_ids.add(dedup_id, now)
+
+    def end(self) -> None:
+        """Release the retained ids."""
+        if self.recent_ids is not None:
+            self.recent_ids.clear()
 
     @property
     def is_exhausted(self) -> bool:
