Execute what the decision module decided before an exception, and answer failed timers

Cause: Balancer.handle collects the actions of an event in a list, which an exception on the way threw away with all Reject and FailRequest in it. The requests were removed from the module already, so their timers found nothing to answer.

Change: Balancer.handle raises EventHandlingError, which carries the actions decided so far; Controller.handle executes them and raises on. The timer of the budget interval is among them in any case, so the second timer that BalancerTimers set after a failure goes: with both, intervals ended twice as often from then on. A request whose own timer fails is taken out of the module and answered as failed, since no further event comes for it. Callers that own a request (fronts) answer it themselves after an exception, as before; the list of servers and the upgrade log it and go on.

Ruled out: giving each handler a guard of its own (the loss is in one place), and a limit by time in the fronts (it would answer in time what the module had refused earlier).

Measured: on test_exception_in_the_module_does_not_lose_the_answers_of_its_call and test_request_whose_timer_fails_is_answered time out, test_budget_interval_that_fails_is_followed_by_exactly_one_other finds two timers.

--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -4,14 +4,25 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 from dataclasses import replace
 
 import pytest
 import uvloop
 from relay_driver import RelayDriver
 
-from violetdoor.balancing.actions import FailRequest, Reject, SetTimer, StartAttempt
-from violetdoor.balancing.events import ServerEntry, ServerListKind, ServerListUpdate, ServerState, TimerFired
+from violetdoor.balancing.actions import EventHandlingError, FailRequest, Reject, SetTimer, StartAttempt
+from violetdoor.balancing.balancer import INTERVAL_TIMER
+from violetdoor.balancing.events import (
+    AttemptResult,
+    Event,
+    HealthCheckEnded,
+    ServerEntry,
+    ServerListKind,
+    ServerListUpdate,
+    ServerState,
+    TimerFired,
+)
 from violetdoor.core import Controller, RequestAttributes, RequestHandle
 from violetdoor.core import controller as controller_module
 from violetdoor.net.server_directory import ServerDirectory
@@ -70,6 +81,81 @@
     uvloop.run(test())
 
 
+class BrokenModuleError(Exception):
+    """Raised by a decision module that is made to fail."""
+
+
+def fail_at(core: Controller, event: type[Event], decide: Callable[[], None]) -> None:
+    """Make the decision module fail at events of this type, after it has decided something."""
+
+    def handle(_event: Event) -> None:
+        decide()
+        raise BrokenModuleError
+
+    core.balancer.handlers[event] = handle
+
+
+def test_exception_in_the_module_does_not_lose_the_answers_of_its_call() -> None:
+    """Requests that the same call had rejected before it failed waited for their answers forever."""
+
+    async def test() -> None:
+        core = make_controller(0)
+        requests = [open_request(core, time_left_ms=60_000.0) for _ in range(3)]
+
+        def reject_all() -> None:
+            for request in requests:
+                core.balancer.admission.reject(core.balancer.requests[request.request_id])
+
+        fail_at(core, HealthCheckEnded, reject_all)
+        with pytest.raises(EventHandlingError) as failed:
+            core.handle(HealthCheckEnded("s0", AttemptResult.OK, 1.0))
+        assert isinstance(failed.value.__cause__, BrokenModuleError)
+        async with asyncio.timeout(1):
+            assert [type(await request.next_decision()) for request in requests] == [Reject] * 3
+
+    uvloop.run(test())
+
+
+def test_request_whose_timer_fails_is_answered() -> None:
+    """No further event comes for it, so its client would wait in vain."""
+
+    async def test() -> None:
+        core = make_controller(0)
+        request = open_request(core, time_left_ms=2000.0)
+        other = open_request(core, time_left_ms=60_000.0)
+        decide = core.balancer.handlers[TimerFired]
+
+        def handle(event: TimerFired) -> None:
+            if event.token == str(request.request_id):
+                raise BrokenModuleError
+            decide(event)
+
+        core.balancer.handlers[TimerFired] = handle
+        async with asyncio.timeout(1):
+            assert isinstance(await request.next_decision(), FailRequest)
+        assert request.request_id not in core.balancer.requests
+        assert other.request_id in core.balancer.requests
+        assert not other.is_finished
+
+    uvloop.run(test())
+
+
+def test_budget_interval_that_fails_is_followed_by_exactly_one_other(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The timer was set again by the next event and by the retry, so that intervals ended twice as often."""
+
+    async def test() -> None:
+        core = make_controller(1)
+        timers: list[str] = []
+        monkeypatch.setattr(core.timers, "set", lambda token, _at_ms: timers.append(token))
+        with monkeypatch.context() as broken:
+            broken.setattr(core.balancer.load, "decay_sent_load", lambda: 1 / 0)
+            core.timers._fire(INTERVAL_TIMER, 0.0)
+        open_request(core)
+        assert timers.count(INTERVAL_TIMER) == 1
+
+    uvloop.run(test())
+
+
 def test_self_reported_draining_server_gets_no_new_request() -> None:
     async def test() -> None:
         core = make_controller(2)
--- a/violetdoor/balancing/actions.py
+++ b/violetdoor/balancing/actions.py
@@ -7,6 +7,10 @@
 
 import math
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from violetdoor.balancing.events import Event
 
 
 @dataclass(slots=True, frozen=True)
@@ -62,3 +66,17 @@
 
 
 Action = StartAttempt | Reject | FailRequest | Migrate | CheckHealth | SetTimer | WatchServerList
+
+
+class EventHandlingError(Exception):
+    """The decision module failed on an event; `__cause__` has the exception, a fault of this program.
+
+    The actions that it decided before are valid and have to be executed: there may be final answers among
+    them, and the module does not decide anything twice.
+    """
+
+    def __init__(self, event: Event, actions: list[Action]) -> None:
+        """Carry the event and the actions decided before the failure."""
+        super().__init__(f"decision module failed on {type(event).__name__}")
+        self.event = event
+        self.actions = actions
--- a/violetdoor/balancing/balancer.py
+++ b/violetdoor/balancing/balancer.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from violetdoor.balancing.actions import Action, SetTimer, WatchServerList
+from violetdoor.balancing.actions import Action, EventHandlingError, SetTimer, WatchServerList
 from violetdoor.balancing.admission import Admission
 from violetdoor.balancing.budget import BUDGET_INTERVAL_MS
 from violetdoor.balancing.context import Context
@@ -101,15 +101,22 @@
         }
 
     def handle(self, now_ms: float, event: Event) -> list[Action]:
-        """Handle one event at time `now_ms` and return the actions to execute, in order."""
+        """Handle one event at time `now_ms` and return the actions to execute, in order.
+
+        Raises EventHandlingError for any exception on the way; it has the actions decided until then.
+        """
         context = self.context
         context.now_ms = now_ms
         actions: list[Action] = []
         context.actions = actions
-        self.handlers[type(event)](event)
-        if self._interval_ends_at_ms > now_ms:
-            actions.append(SetTimer(INTERVAL_TIMER, self._interval_ends_at_ms))
-            self._interval_ends_at_ms = now_ms
+        try:
+            self.handlers[type(event)](event)
+        except Exception as error:
+            raise EventHandlingError(event, actions) from error
+        finally:
+            if self._interval_ends_at_ms > now_ms:
+                actions.append(SetTimer(INTERVAL_TIMER, self._interval_ends_at_ms))
+                self._interval_ends_at_ms = now_ms
         return actions
 
     def avoided_servers(self) -> set[str]:
--- a/violetdoor/core/controller.py
+++ b/violetdoor/core/controller.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import math
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import replace
@@ -15,6 +16,7 @@
 from violetdoor.balancing.actions import (
     Action,
     CheckHealth,
+    EventHandlingError,
     FailRequest,
     Migrate,
     Reject,
@@ -27,6 +29,7 @@
     ConnectionAdopted,
     Event,
     LearnedState,
+    RequestAbandoned,
     RequestArrived,
     ServerEntry,
     ServerListUpdate,
@@ -86,7 +89,7 @@
         self.established: EstablishedByServer = {}
         self.overrides = EndpointOverrides()
         self.endpoints = ServerEndpoints(self.overrides)
-        self.timers = BalancerTimers(clock, self.handle)
+        self.timers = BalancerTimers(clock, self.handle, self._fail_request_of_timer)
         self.health_checks = HealthChecks(self.accepts_new_work, self.handle)
         self.watch_server_list: Callable[[], None] = lambda: None
         self.on_server_draining: Callable[[str], None] = lambda _server: None
@@ -102,8 +105,19 @@
     # The decision module.
 
     def handle(self, event: Event) -> None:
-        """Pass an event to the decision module and execute the actions that it returns."""
-        for action in self.balancer.handle(self.now(), event):
+        """Pass an event to the decision module and execute the actions that it returns.
+
+        Raises EventHandlingError if the module fails; what it decided before is executed all the same.
+        """
+        try:
+            actions = self.balancer.handle(self.now(), event)
+        except EventHandlingError as error:
+            self._execute_actions(error.actions)
+            raise
+        self._execute_actions(actions)
+
+    def _execute_actions(self, actions: Sequence[Action]) -> None:
+        for action in actions:
             self.execute_action(action)
 
     def execute_action(self, action: Action) -> None:
@@ -123,6 +137,15 @@
             case CheckHealth():
                 self.health_checks.request(action.server)
 
+    def _fail_request_of_timer(self, token: str) -> None:
+        """Give a request its final answer after its timer has failed: no further event would come for it."""
+        request = self.requests.get(int(token)) if token.isdecimal() else None
+        if request is None or request.is_finished or request.has_attempt_in_flight:
+            return  # the end of an attempt is a further event
+        with contextlib.suppress(EventHandlingError):
+            self.handle(RequestAbandoned(request.request_id))
+        request.deliver_decision(FailRequest(request.request_id))
+
     # Settings.
 
     def reconfigure(self, settings: BalancerSettings, *, reports_message_delay: bool) -> None:
--- a/violetdoor/core/request_handle.py
+++ b/violetdoor/core/request_handle.py
@@ -112,6 +112,11 @@
         self._has_attempt_in_flight = False
         self._attempt_started_at = 0.0
 
+    @property
+    def has_attempt_in_flight(self) -> bool:
+        """Whether an attempt was decided and its end is not reported yet."""
+        return self._has_attempt_in_flight
+
     # Decisions.
 
     async def next_decision(self) -> Decision:
--- a/violetdoor/core/timers.py
+++ b/violetdoor/core/timers.py
@@ -10,17 +10,20 @@
 
 log = logging.getLogger("violetdoor.core")
 
-TICK_TOKEN = "tick"  # the decision module's periodic timer, which it sets again each time
-TICK_RETRY_DELAY_MS = 1_000.0  # delay until the periodic timer is repeated after a failure
-
 
 class BalancerTimers:
     """Delivers timer events to the decision module at or shortly after the requested times, never early."""
 
-    def __init__(self, clock: Callable[[], float], emit: Callable[[TimerFired], None]) -> None:
-        """Pass timer events to `emit`; `clock` returns ms."""
+    def __init__(
+        self,
+        clock: Callable[[], float],
+        emit: Callable[[TimerFired], None],
+        on_failure: Callable[[str], None],
+    ) -> None:
+        """Pass timer events to `emit`, and the token to `on_failure` if that fails; `clock` returns ms."""
         self._clock = clock
         self._emit = emit
+        self._on_failure = on_failure
         self._loop = asyncio.get_running_loop()
 
     def set(self, token: str, at_ms: float) -> None:
@@ -39,5 +42,4 @@
             self._emit(TimerFired(token))
         except Exception:  # a failure for one request must not stop the timers of all others
             log.exception("timer %s failed in the decision module", token)
-            if token == TICK_TOKEN:
-                self.set(token, self._clock() + TICK_RETRY_DELAY_MS)
+            self._on_failure(token)
--- a/violetdoor/simhost/host.py
+++ b/violetdoor/simhost/host.py
@@ -9,6 +9,7 @@
 import sys
 from typing import Any, TextIO
 
+from violetdoor.balancing.actions import EventHandlingError
 from violetdoor.balancing.balancer import Balancer
 from violetdoor.balancing.platform_settings import parse_platform_settings
 from violetdoor.simhost.errors import (
@@ -68,8 +69,9 @@
             return []
         try:
             actions = balancer.handle(now_ms, event)
-        except Exception as err:  # noqa: BLE001 - the protocol reports any exception here as a message
-            return [["InternalError", instance, f"{type(err).__name__}: {err}"]]
+        except EventHandlingError as err:
+            cause = err.__cause__
+            return [["InternalError", instance, f"{type(cause).__name__}: {cause}"]]
         return [write_action(instance, action) for action in actions]
 
     def _start(self, now_ms: float, instance: int, message: Message) -> None:
