Ask for candidates at an interval's end only for a request that is still open

Cause of the exception: Balancer._close_interval takes the heads of the queues, lets share_capacity admit what the new limits allow, and then asks for candidates for the first head. That head may have been admitted too late for a server, and rejected and removed. Without other members its group has size -1 in GroupAffinity._home_servers: 0.0 ** -0.5.

Ruled out: a floor for the size of a group (it would hide that the module places a request that has its answer), and taking the heads after share_capacity (then nothing is checked in an interval that admits its whole queue).

Change: the candidates are for the first head that is still a request; none, no checks.

--- a/tests/test_balancing_admission.py
+++ b/tests/test_balancing_admission.py
@@ -9,6 +9,7 @@
     Reject,
     SetTimer,
 )
+from violetdoor.balancing.balancer import INTERVAL_TIMER
 from violetdoor.balancing.events import (
     AttemptResult,
 )
@@ -104,3 +105,28 @@
     relay.actions = [a for a in relay.actions if not isinstance(a, CheckHealth)]
     relay.advance_to(2490.0)
     assert relay.actions_of(CheckHealth)
+
+
+def test_request_rejected_as_its_budget_interval_ends_is_not_given_candidates() -> None:
+    """An admitted head of the queue that was too late for a server was given candidates after its answer.
+
+    The exception lost that answer: a group without other members has no size.
+    """
+    relay = RelayDriver(health_checks_report_load=True)
+    for n in range(4):
+        relay.request(n + 1)
+        relay.finish_health_checks(0.5)
+    report_fleet_load(relay, 1.3)
+    relay.advance_to(1500.0)
+    interval_end_ms = max(a.at_ms for a in relay.actions_of(SetTimer) if a.token == INTERVAL_TIMER)
+    relay.advance_to(interval_end_ms - 100.0)
+    relay.request(9, time_left_ms=300.0, group=7)  # rejected after half of this time if it is still queued
+    relay.request(10, time_left_ms=2000.0)
+    assert len(relay.balancer.context.tenants[""].queue) == 2
+    relay.balancer.load.fleet_load = 0.3  # the contention has ended, so both are admitted
+    for server in relay.balancer.servers.values():
+        server.reported_at_ms = 1e9  # recent enough that a placement does not wait for a health check
+        server.load = 1.3
+    relay.advance_to(interval_end_ms)
+    assert len(relay.final_answers(9)) == 1
+    assert not relay.final_answers(10)
--- a/violetdoor/balancing/balancer.py
+++ b/violetdoor/balancing/balancer.py
@@ -41,7 +41,7 @@
 from violetdoor.balancing.load_estimation import LoadEstimator
 from violetdoor.balancing.load_reports import LoadReports
 from violetdoor.balancing.migration import Migration
-from violetdoor.balancing.model import Server
+from violetdoor.balancing.model import Request, Server
 from violetdoor.balancing.outlier_detection import FAILURES, OutlierDetector
 from violetdoor.balancing.placement import Placement
 from violetdoor.balancing.retries import RetryPolicy
@@ -196,9 +196,7 @@
         active = self.admission.active_tenants()
         queued = [tenant.queue[0] for tenant in active if tenant.queue]
         self.admission.share_capacity(active, capacity)
-        if queued:  # without placements, only these health checks show that the contention has ended
-            for server in self.placement.next_candidates(queued[0]):
-                self.health_checks.start(server)
+        self._check_servers_for(queued)
         for server in self.servers.values():
             self.outliers.recover(server)
             self.slow_start.schedule_first_turn(server)  # for servers listed before capacity was known
@@ -206,6 +204,18 @@
             self.health_checks.start_periodic(server)
         self.load.decay_sent_load()
 
+    def _check_servers_for(self, queued: list[Request]) -> None:
+        """Check servers that the first open one of these requests could use.
+
+        Without placements, only these health checks show that the contention has ended. Requests that have
+        been rejected meanwhile have no candidates.
+        """
+        request = next((request for request in queued if request.id in self.requests), None)
+        if request is None:
+            return
+        for server in self.placement.next_candidates(request):
+            self.health_checks.start(server)
+
     def _ready_weight(self) -> float:
         """Return the total listed weight of ready servers, scaled by their slow-start capacity fractions."""
         return sum(
