Work off a tenant's queue in a loop: 250 late requests were a RecursionError

Cause: drain_queue admits a request, place finds no time left for it, reject calls finish, and finish calls drain_queue for the next one, four frames deeper each time.

Change: a tenant whose queue is being worked off is left to the outer call, whose loop goes on. The order of admissions and answers is the same, since the inner call was the last thing that reject did.

--- a/tests/test_balancing_admission.py
+++ b/tests/test_balancing_admission.py
@@ -130,3 +130,21 @@
     relay.advance_to(interval_end_ms)
     assert len(relay.final_answers(9)) == 1
     assert not relay.final_answers(10)
+
+
+def test_end_of_a_connection_rejects_any_number_of_late_requests() -> None:
+    """One request was admitted inside the rejection of the one before it: a long queue was a RecursionError."""
+    relay = RelayDriver()
+    relay.request(1)
+    tenant = relay.balancer.context.tenants[""]
+    tenant.connection_limit = 1
+    for n in range(2, 1002):
+        relay.request(n, time_left_ms=300.0)
+    assert len(tenant.queue) == 1000
+    for server in relay.balancer.servers.values():
+        server.load = 1.3
+    relay.now_ms += 100.0
+    relay.end_attempt(1, AttemptResult.OK, is_final=True)
+    assert [len(relay.final_answers(n)) for n in range(2, 1002)] == [1] * 1000
+    assert not relay.balancer.requests
+    assert tenant.connection_count == 0
--- a/violetdoor/balancing/admission.py
+++ b/violetdoor/balancing/admission.py
@@ -85,7 +85,20 @@
             self.reject(request)
 
     def drain_queue(self, tenant: Tenant) -> None:
-        """Admit queued requests up to the limit; above the budget, each first waits for its pacing delay."""
+        """Admit queued requests up to the limit; above the budget, each first waits for its pacing delay.
+
+        An admitted request that is rejected at once makes room for the next one: the call for that returns
+        here and the loop goes on, so that the depth of calls does not grow with the queue.
+        """
+        if tenant.is_admitting:
+            return
+        tenant.is_admitting = True
+        try:
+            self._admit_queued(tenant)
+        finally:
+            tenant.is_admitting = False
+
+    def _admit_queued(self, tenant: Tenant) -> None:
         context = self.context
         while tenant.queue and tenant.connection_count < tenant.connection_limit:
             request = tenant.queue[0]
--- a/violetdoor/balancing/model.py
+++ b/violetdoor/balancing/model.py
@@ -28,6 +28,7 @@
     budget: float = math.inf
     connection_limit: float = math.inf
     queue: deque[Request] = field(default_factory=deque)
+    is_admitting: bool = False  # its queue is being worked off
 
     @property
     def budget_excess(self) -> float:
