NATS: ask whether an attempt may start right before its first byte

Cause: _handshake in attempt.py asked Controller.may_start when the connection was up; the first byte is written when the server's INFO has come, which a server that hangs sends late. The client's disconnect was asked for at the right place.

Change: handshake asks for a reason not to send when INFO has arrived, as the line front does before its first byte.

--- a/tests/test_nats.py
+++ b/tests/test_nats.py
@@ -17,7 +17,7 @@
 import nats
 import pytest
 from nats.aio.msg import Msg
-from standins import NatsServer, Reader, Relay, Writer, relay, run, wait_until
+from standins import Discovery, NatsServer, Reader, Relay, Writer, relay, run, wait_until
 
 from violetdoor.fronts.nats.client_operations import MAX_PENDING_ANSWERS
 
@@ -699,6 +699,29 @@
     run(test)
 
 
+def test_server_that_greets_after_it_was_told_to_drain_gets_no_client(tmp_path: Path) -> None:
+    """Guards against a drain that is checked before the server's INFO arrives, and not before the first byte."""
+
+    async def test() -> None:
+        async with LateGreeting() as server, Discovery(server) as discovery:
+            where = f'discovery = "{discovery.address}"'
+            path = tmp_path / "nats.toml"
+            path.write_text(CONFIG.format(options="", deadline=3000, discovery=where))
+            async with relay("--config", str(path)) as it:
+                client = await open_waiting_client(it, server, how="waits")
+                changes = (await it.counters())["discovery_changes"]
+                discovery.set_state(server, "draining")
+                async with asyncio.timeout(5):
+                    while (await it.counters())["discovery_changes"] == changes:
+                        await asyncio.sleep(0.01)
+                server.greeting.set()
+                assert (await client.line()).startswith(b"-ERR")
+                assert not server.connects
+                assert (await it.counters())["begun_too_late"] == 1
+
+    run(test)
+
+
 @pytest.mark.parametrize("how", DISCONNECT_CASES)
 def test_disconnected_client_is_not_presented_to_the_next_server(tmp_path: Path, how: str) -> None:
     async def test() -> None:
--- a/violetdoor/fronts/nats/attempt.py
+++ b/violetdoor/fronts/nats/attempt.py
@@ -50,11 +50,10 @@
     front: Front, client: NatsClient, attempt: StartAttempt, connection: ServerConnection
 ) -> AttemptResult:
     """Run the handshake on a connected socket; raise ClientDeniedError."""
-    if not front.core.may_start(attempt):  # connected too late: send nothing
-        front.counts["begun_too_late"] += 1
-        return AttemptResult.UNREACHABLE
     time_left = (attempt.timeout_at_ms - front.core.now()) / 1000
-    handshake = connection.handshake(client.upstream_connect, lambda: client.is_disconnected)
+    handshake = connection.handshake(
+        client.upstream_connect, lambda: _reason_not_to_send(front, client, attempt)
+    )
     try:
         async with asyncio.timeout(time_left):
             result = await client.wait_unless_ended(handshake)
@@ -65,3 +64,13 @@
     if connection.denial:
         raise ClientDeniedError(connection.denial)
     return result or AttemptResult.CANCELLED
+
+
+def _reason_not_to_send(front: Front, client: NatsClient, attempt: StartAttempt) -> AttemptResult | None:
+    """Return the result of an attempt that must not send anything, None if it may send."""
+    if client.is_disconnected:
+        return AttemptResult.CANCELLED
+    if not front.core.may_start(attempt):
+        front.counts["begun_too_late"] += 1
+        return AttemptResult.UNREACHABLE
+    return None
--- a/violetdoor/fronts/nats/server_connection.py
+++ b/violetdoor/fronts/nats/server_connection.py
@@ -73,14 +73,17 @@
         last_sign_at = max(self.reader.last_received_at, self.pending_pings[0].sent_at)
         return asyncio.get_running_loop().time() - last_sign_at
 
-    async def handshake(self, connect: bytes, is_client_disconnected: Callable[[], bool]) -> AttemptResult:
+    async def handshake(
+        self, connect: bytes, reason_not_to_send: Callable[[], AttemptResult | None]
+    ) -> AttemptResult:
         """Send the client's CONNECT; the server is up once it answers a PING.
 
-        If the client disconnects before the server's INFO arrives, no CONNECT is sent.
+        `reason_not_to_send` is asked once the server's INFO has arrived, which may be late. If it returns a
+        result, nothing is sent and the attempt ends with that result.
         """
         try:
             while (frame := await self.reader.read_frame()) is not None:
-                result = self._handle_handshake_frame(frame, connect, is_client_disconnected)
+                result = self._handle_handshake_frame(frame, connect, reason_not_to_send)
                 if result is not None:
                     return result
         except (ProtocolError, ValueError):
@@ -88,13 +91,13 @@
         return AttemptResult.RESET
 
     def _handle_handshake_frame(
-        self, frame: Frame, connect: bytes, is_client_disconnected: Callable[[], bool]
+        self, frame: Frame, connect: bytes, reason_not_to_send: Callable[[], AttemptResult | None]
     ) -> AttemptResult | None:
         """Return the result if this frame ends the handshake, else None."""
         match frame.operation:
             case "INFO":
                 self.update_info(frame.arguments[0])
-                return self._send_connect(connect, is_client_disconnected)
+                return self._send_connect(connect, reason_not_to_send)
             case "PING":
                 self.out.enqueue(b"PONG\r\n")
             case "PONG":
@@ -109,15 +112,16 @@
         return None
 
     def _send_connect(
-        self, connect: bytes, is_client_disconnected: Callable[[], bool]
+        self, connect: bytes, reason_not_to_send: Callable[[], AttemptResult | None]
     ) -> AttemptResult | None:
         """Answer the first INFO with the client's CONNECT; return a result if the attempt ends instead."""
         if self.info.get("tls_required") or self.is_draining:
             return AttemptResult.OVERLOADED  # nothing was sent, so nothing was executed
         if self.is_connect_sent:
             return None
-        if is_client_disconnected():
-            return AttemptResult.CANCELLED
+        obstacle = reason_not_to_send()
+        if obstacle is not None:
+            return obstacle
         self.out.enqueue(connect + b"PING\r\n")
         self.is_connect_sent = True
         return None
