Keep a removed class for as long as an open NATS session uses it

Cause: Controller._drop_removed_classes forgets removed classes 40 s after the reload, though NatsFront.reconfigure promises that an open session keeps its class. Session._serve then opens its next request in an unknown class: KeyError.

Change: the front names the classes of its open sessions; these stay until no session uses them. One timer tries again, however many reloads there were.

Measured: test_removed_class_of_an_open_session_stays_until_the_session_ends times out before, passes now, with 179 tests of the core, the NATS front, the console, overload and the pages.

--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -250,6 +250,35 @@
     uvloop.run(test())
 
 
+def test_removed_class_of_an_open_session_stays_until_the_session_ends(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A session that was placed again after its class had expired ended with an internal error."""
+
+    async def play() -> None:
+        monkeypatch.setattr(controller_module, "REMOVED_CLASS_TTL_SECONDS", 0.02)
+        core = make_controller(1)
+        (feed,) = core.settings.classes.values()
+        in_use = {"feed"}
+        core.classes_in_use = lambda: in_use
+        for name in ("a", "b", "c"):
+            core.reconfigure(replace(core.settings, classes={name: feed}), reports_message_delay=False)
+        while core.settings.classes.keys() != {"feed", "c"}:
+            await asyncio.sleep(0.005)
+        await asyncio.sleep(0.1)  # five times the time after which an unused class is dropped
+        assert isinstance(await open_request(core).next_decision(), StartAttempt)
+        in_use.clear()
+        while len(core.settings.classes) > 1:
+            await asyncio.sleep(0.005)
+        assert core.settings.classes.keys() == core.balancer.context.settings.classes.keys() == {"c"}
+
+    async def test() -> None:
+        async with asyncio.timeout(5):
+            await play()
+
+    uvloop.run(test())
+
+
 def test_servers_that_departed_long_ago_are_forgotten() -> None:
     """The process kept an entry for each server that was ever listed; only listed servers must stay."""
 
--- a/violetdoor/core/controller.py
+++ b/violetdoor/core/controller.py
@@ -9,7 +9,7 @@
 import asyncio
 import contextlib
 import math
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence, Set
 from dataclasses import replace
 from typing import Protocol, TypeVar
 
@@ -93,12 +93,15 @@
         self.health_checks = HealthChecks(self.accepts_new_work, self.handle)
         self.watch_server_list: Callable[[], None] = lambda: None
         self.on_server_draining: Callable[[str], None] = lambda _server: None
+        # The classes with which open sessions may still open requests; set by a front that has such sessions.
+        self.classes_in_use: Callable[[], Set[str]] = frozenset
         self.message_delays = MessageDelays(_shortest_message_objective(settings))
         self.unresponsive_servers = UnresponsiveServerDetector(self.established, clock)
         self._delay_reporter = DelayReporter(self.message_delays, self.established, clock, self.handle)
         self._delay_reporter.is_enabled = reports_message_delay and bool(settings.classes)
         self._ban_evacuation = BanEvacuation(self.overrides.bans, self.established, clock)
         self._configured_settings = settings
+        self._drop_retry: asyncio.TimerHandle | None = None  # one at most, however many reloads there were
         self._live_relay_count: int | None = None  # None if unknown: the settings apply
         self._last_request_id = 0
 
@@ -163,9 +166,19 @@
             self.loop.call_later(REMOVED_CLASS_TTL_SECONDS, self._drop_removed_classes)
 
     def _drop_removed_classes(self) -> None:
-        """Drop removed classes; otherwise they would accumulate and their objectives would still apply."""
-        self.settings = replace(self.settings, classes=self._configured_settings.classes)
+        """Drop removed classes that no session uses: they would accumulate, and their objectives apply."""
+        in_use = self.classes_in_use()
+        retained = {name: found for name, found in self.settings.classes.items() if name in in_use}
+        self.settings = replace(self.settings, classes=retained | dict(self._configured_settings.classes))
         self.handle(SettingsChanged(self.settings))
+        has_removed = len(self.settings.classes) > len(self._configured_settings.classes)
+        if has_removed and self._drop_retry is None:
+            self._drop_retry = self.loop.call_later(REMOVED_CLASS_TTL_SECONDS, self._retry_drop)
+
+    def _retry_drop(self) -> None:
+        """Try again to drop removed classes that were in use."""
+        self._drop_retry = None
+        self._drop_removed_classes()
 
     def set_live_relay_count(self, count: int | None) -> None:
         """Set how many relays share the servers now; None to use the number in the settings."""
--- a/violetdoor/fronts/nats/front.py
+++ b/violetdoor/fronts/nats/front.py
@@ -61,6 +61,7 @@
         self.is_shutting_down = False
         self.sessions: set[Session] = set()
         self.retention_budget = RetentionBudget(self.counts)
+        self.core.classes_in_use = self._classes_in_use
         self._client_ids = itertools.count(1)
         self._full_answer = self.info(0) + error(TOO_MANY_CONNECTIONS)
         listener = host.inherited_listener or listen(config.listen, reuse_port=True)
@@ -73,6 +74,10 @@
         self.deadlines_ms = {**self.deadlines_ms, **deadlines_ms}
         self.tenants = tenants
 
+    def _classes_in_use(self) -> frozenset[str]:
+        """Return the classes of all open sessions; each may still be placed on another server."""
+        return frozenset(session.request_class for session in self.sessions)
+
     async def run(self) -> None:
         """Accept clients until cancelled."""
         await self.acceptor.run()
