Fleet: a process that has handed over its membership owns no key any more

Cause: FleetEndpoint.hand_over stops the endpoint and leaves the lease in its node, which may_act and owns read until the lease expires.

Change: may_act and owns hold only while the endpoint is open.

--- a/violetdoor/fleet/endpoint.py
+++ b/violetdoor/fleet/endpoint.py
@@ -191,12 +191,15 @@
         return self._task_owner.tasks
 
     def may_act(self) -> bool:
-        """Return whether this relay holds a lease at this moment."""
-        return self.node.may_act(self.clock())
+        """Return whether this process is the member and holds its lease at this moment.
+
+        After `hand_over` the lease is the next process's, although it has not expired.
+        """
+        return self.is_open and self.node.may_act(self.clock())
 
     def owns(self, key: str) -> bool:
-        """Return whether this relay is the only owner of a key at this moment."""
-        return self.node.owns(key, self.clock())
+        """Return whether this process is the only owner of a key at this moment."""
+        return self.is_open and self.node.owns(key, self.clock())
 
     def set_entry(self, key: str, value: float | None) -> bool:
         """Set an entry of the shared map, or remove it by None; return False if the map is full."""
