Split the tests of the NATS front: peers, publications, all else

Stand-ins and the raw client are in tests/nats_peers.py, what happens to publications in tests/test_nats_publications.py. A stored publication counts 192 bytes of overhead, since it has an answer now.

--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -14,8 +14,8 @@
 import pytest
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
+from nats_peers import CONFIG
 from standins import ROOT
-from test_nats import CONFIG
 from test_rules import CLASSES, command, config
 
 from violetdoor.configuration.completeness import check_complete
--- a/tests/test_fleet_process.py
+++ b/tests/test_fleet_process.py
@@ -17,9 +17,9 @@
 
 import orjson
 import pytest
+from nats_peers import Client
 from standins import ROOT, Discovery, GateServer, NatsServer, Relay, relay, run
 from test_line import opening_line, read_line
-from test_nats import Client
 
 from violetdoor import events
 from violetdoor.fleet import messages as m
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -15,6 +15,7 @@
 
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
+from nats_peers import Client
 from standins import (
     ROOT,
     TIMEOUT_SECONDS,
@@ -28,7 +29,6 @@
     wait_until,
 )
 from test_line import open_client, read_line, start_relay
-from test_nats import Client
 
 from violetdoor.fronts.nats import fields as nats_fields
 from violetdoor.fronts.nats.frames import Frame
--- a/violetdoor/fronts/nats/state.py
+++ b/violetdoor/fronts/nats/state.py
@@ -9,7 +9,7 @@
 from violetdoor.fronts.nats.frames import Frame, message_id, subscribe, unsubscribe
 from violetdoor.fronts.nats.message_ids import RecentMessageIds
 
-PUBLICATION_OVERHEAD_BYTES = 128  # memory per stored publication, besides its own bytes
+PUBLICATION_OVERHEAD_BYTES = 192  # memory per stored publication and its answer, besides its own bytes
 ARGUMENTS_WITH_REPLY = {"PUB": 3, "HPUB": 4}  # number of arguments if the second one is a reply subject
 
 
