NATS: members of a queue group on one session share the ids of delivered messages

What callers would see: a client with several members of a queue group on one connection gets a message that was sent again on two of them, once on each: the rule is that a client does not see a message twice after a retry.

Cause: each subscription had ids of its own, and a server gives each copy to any member of the group.

Change: a member of a group takes over the ids of the session's other member. Sessions share nothing, since two clients may belong to different accounts with the same subjects and ids.

Measured: test_second_copy_for_another_member_of_a_queue_group_is_dropped fails before (the copy comes on sid 1 too).

--- a/tests/test_nats_publications.py
+++ b/tests/test_nats_publications.py
@@ -108,6 +108,32 @@
     run(test)
 
 
+def test_second_copy_for_another_member_of_a_queue_group_is_dropped(tmp_path: Path) -> None:
+    """Guards against a client that has several members of a group and gets the copies on two of them."""
+
+    async def test() -> None:
+        async with NatsServer() as server, start_nats_relay(tmp_path, server) as it:
+            client = await Client.connect(it)
+            client.send(b"SUB feed workers 1", b"SUB feed workers 2", b"SUB feed others 3", b"SUB feed 4")
+            await client.flush()
+            subscriptions = next(iter(server.subs.values()))
+            first = subscriptions.pop(b"1")
+            head = b"NATS/1.0\r\nNats-Msg-Id: id-1\r\n\r\n"
+            server.publish(b"feed", head + b"copy", len(head))
+            subscriptions.pop(b"2")
+            subscriptions[b"1"] = first
+            server.publish(b"feed", head + b"copy", len(head))
+            lines = await client.flush()
+            sids = sorted(line.split()[2] for line in lines if line.startswith(b"HMSG"))
+            assert sids == [b"2", b"3", b"4"]
+            client.send(b"UNSUB 2")  # the ids stay with the other member
+            await client.flush()
+            server.publish(b"feed", head + b"copy", len(head))
+            assert not [line for line in await client.flush() if line.startswith(b"HMSG")]
+
+    run(test)
+
+
 def test_publications_that_an_abandoned_server_has_not_received_are_taken_back(tmp_path: Path) -> None:
     """Guards against duplicates: after a graceful close the system would go on to send the first copies."""
 
--- a/violetdoor/fronts/nats/client_operations.py
+++ b/violetdoor/fronts/nats/client_operations.py
@@ -185,7 +185,9 @@
             self._reject(TOO_MANY_SUBSCRIPTIONS)
             return False
         self._counts["subscriptions"] += 1
-        recent_ids = RecentMessageIds(self._front.options.repeat_window, self._front.retention_budget)
+        recent_ids = binding.group_ids(subject, queue)
+        if recent_ids is None:
+            recent_ids = RecentMessageIds(self._front.options.repeat_window, self._front.retention_budget)
         subscription = Subscription(sid, subject, queue, recent_ids=recent_ids)
         binding.subscriptions[sid] = subscription
         if binding.connection is not None:
--- a/violetdoor/fronts/nats/server_binding.py
+++ b/violetdoor/fronts/nats/server_binding.py
@@ -11,6 +11,7 @@
 if TYPE_CHECKING:
     from violetdoor.fronts.nats.answers import Answer
     from violetdoor.fronts.nats.client import NatsClient
+    from violetdoor.fronts.nats.message_ids import RecentMessageIds
     from violetdoor.fronts.nats.server_connection import ServerConnection
     from violetdoor.net.counters import Counters
 
@@ -43,9 +44,20 @@
         self._counts = counts
 
     def remove_subscription(self, subscription: Subscription) -> None:
-        """Remove a subscription that has ended."""
+        """Remove a subscription that has ended; its ids stay if others of its queue group share them."""
         del self.subscriptions[subscription.sid]
-        subscription.end()
+        if self.group_ids(subscription.subject, subscription.queue) is None:
+            subscription.end()
+
+    def group_ids(self, subject: bytes, queue: bytes) -> RecentMessageIds | None:
+        """Return the ids that the client's members of a queue group share; None without such a member.
+
+        A message goes to one member of the group, and its second copy may go to another one.
+        """
+        for subscription in self.subscriptions.values():
+            if queue and (subscription.subject, subscription.queue) == (subject, queue):
+                return subscription.recent_ids
+        return None
 
     def close(self) -> None:
         """Remove all subscriptions, because the session ends."""
