--- a/review/peers_fleet.py
+++ b/review/peers_fleet.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from peers_line import HOST_DIGITS, RELAY_HOST, Record, Relay, address, free_port
+from peers_line import HOST_DIGITS, RELAY_HOST, Gate, Record, Relay, address, free_port
 
 KEY_BYTES = 32
 ASK_SECONDS = 5.0
@@ -40,10 +40,12 @@
 aim_ms = 300
 deadline_ms = 1200
 message_aim_ms = 250
+"""
 
+SERVER = """
 [[servers]]
-id = "gate-1"
-addr = "{gate}"
+id = "{name}"
+addr = "{address}"
 """
 
 
@@ -100,13 +102,13 @@
 class FleetPlace:
     """One relay's place in the fleet."""
 
-    def __init__(self, number: int, folder: Path, record: Record, gate: str) -> None:
+    def __init__(self, number: int, folder: Path, record: Record, gates: list[Gate]) -> None:
         """Choose its addresses; `hosts` of all places have to be known before a start."""
         self.number = number
         self.name = f"relay-{number:02}"
         self.folder = folder
         self.record = record
-        self.gate = gate
+        self.gates = gates
         network = RELAY_HOST.rpartition(".")[0]
         self.host = f"{network}.{(os.getpid() + number) % HOST_DIGITS + 1}"
         self.listen = f"{self.host}:{free_port(self.host)}"
@@ -119,15 +121,15 @@
 
     def text(self, console: str) -> str:
         """Return the operator's file."""
-        return SITE.format(
+        text = SITE.format(
             name=self.name,
             listen=self.listen,
             console=console,
             fleet=self.fleet,
             seeds=[place.fleet for place in self.others],
             founders=self.founders,
-            gate=self.gate,
         )
+        return text + "".join(SERVER.format(name=gate.name, address=gate.address) for gate in self.gates)
 
     async def start_process(self) -> FleetProcess:
         """Start one more process of this relay."""
