--- a/review/peers_line.py
+++ b/review/peers_line.py
@@ -55,11 +55,18 @@
 )
 
 
+given_ports: set[tuple[str, int]] = set()
+
+
 def free_port(host: str = RELAY_HOST) -> int:
-    """Return a port of a host that nobody uses now."""
-    with socket.socket() as sock:
-        sock.bind((host, 0))
-        return int(sock.getsockname()[1])
+    """Return a port of a host that nobody uses now, each one once."""
+    while True:
+        with socket.socket() as sock:
+            sock.bind((host, 0))
+            port = int(sock.getsockname()[1])
+        if (host, port) not in given_ports:
+            given_ports.add((host, port))
+            return port
 
 
 class Gate:
