--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,6 +1,6 @@
-"""Standing connections come to a relay whose remembered list is older than their gate server.
+"""Standing connections come to relays whose remembered list is older than their gate server.
 
-The relay starts with a list in `known` that lacks one of six gate servers; discovery has it. Right after the
+Three relays start with a list in `known` that lacks one of six gate servers; discovery has it. Right after a
 relay's PONG, clients with `at=ID` come: connections that were open before the run. Each has to be up within
 40 s.
 """
@@ -27,7 +27,9 @@
     temporary_folder,
 )
 
+RELAYS = 3
 GATES = 6
+WATCHED_SECONDS = 3.0  # to see when discovery is asked
 LOST_AFTER_SECONDS = 40.0
 TIME_LEFT_MS = 40_000
 
@@ -70,29 +72,34 @@
     return line == b"re hello\r\n"
 
 
+async def play_relay(number: int, folder: Path, gates: list[Gate], record: Record) -> bool:
+    """Start one relay; return whether all of its standing connections were up."""
+    discovery = Discovery(gates, record, f"discovery of n{number}")
+    await discovery.start()
+    known = discovery.listed(gates[:-1] if HAS_TROUBLE else gates)
+    discovery.version += 1  # the remembered list is one version old
+    site = RelaySite(f"n{number}", folder, discovery, known)
+    site.write(RELAYS)
+    relay = Relay(site, record, f"n{number}")
+    await relay.start()
+    try:
+        await connect_when_ready(site)
+        results = await asyncio.gather(*(is_up(site, gate, record) for gate in gates))
+        await asyncio.sleep(WATCHED_SECONDS)
+        record.write(f"discovery of n{number} answered {discovery.answers} calls by now")
+    finally:
+        await relay.stop()
+    return all(results)
+
+
 async def case(record: Record) -> bool:
     """Play the case; return whether the rule held."""
     async with temporary_folder() as folder:
         gates = [Gate(f"s-{number}", record) for number in range(GATES)]
         for gate in gates:
             await gate.start()
-        discovery = Discovery(gates, record)
-        await discovery.start()
-        known = discovery.listed(gates[:-1] if HAS_TROUBLE else gates)
-        discovery.version += 1  # the remembered list is one version old
-        site = RelaySite("n0", folder, discovery, known)
-        site.write()
-        relay = Relay(site, record, "n0")
-        await relay.start()
-        try:
-            await connect_when_ready(site)
-            results = await asyncio.gather(*(is_up(site, gate, record) for gate in gates))
-            # A new connection at the end shows what the relay itself learned meanwhile.
-            await asyncio.sleep(3)
-            record.write(f"discovery answered {discovery.answers} calls by now")
-        finally:
-            await relay.stop()
-        return all(results)
+        relays = (play_relay(number, folder, gates, record) for number in range(RELAYS))
+        return all(await asyncio.gather(*relays))
 
 
 def main() -> None:
