Wait for discovery where a standing connection's server is not listed yet

Cause: Session._parse_and_reserve took an unlisted server for a fault of the line, before discovery had been asked. _adopt, which tries for 35 s, was not reached. Ruled out: a late or slow call to discovery (it answers within the second), the state of a listed server.

Change: only the end of the adoption period is an error; an attempt without an address sends nothing and is repeated. Same cause on related paths: lists of a reload and of an upgrade, at both processes.

--- a/violetdoor/fronts/line/errors.py
+++ b/violetdoor/fronts/line/errors.py
@@ -78,12 +78,12 @@
         super().__init__("'d' (time left) exceeds the limit of its class")
 
 
-class NoAdoptionError(InvalidOpeningError):
-    """The line asks for an adoption at an unlisted server, or after the adoption period."""
+class AdoptionPeriodOverError(InvalidOpeningError):
+    """The line asks for an adoption after the adoption period."""
 
     def __init__(self) -> None:
         """Set the log message."""
-        super().__init__("'at' names an unlisted server, or the adoption period is over")
+        super().__init__("'at' is set, and the adoption period is over")
 
 
 class DuplicateConnectionIdError(InvalidOpeningError):
--- a/violetdoor/fronts/line/session.py
+++ b/violetdoor/fronts/line/session.py
@@ -18,9 +18,9 @@
 from violetdoor.fronts.line.client import ERROR_LINE, MOVE_LINE, ClientConnection, busy_line
 from violetdoor.fronts.line.client_reader import forward_client_lines
 from violetdoor.fronts.line.errors import (
+    AdoptionPeriodOverError,
     DuplicateConnectionIdError,
     InvalidOpeningError,
-    NoAdoptionError,
     RejectedByRuleError,
 )
 from violetdoor.fronts.line.opening import Opening, parse_opening
@@ -137,10 +137,8 @@
             opening.group = None
         if has_rules:
             front.apply_rules(opening, lines.sock)
-        if opening.existing_server:
-            is_listed = opening.existing_server in front.directory.addresses
-            if not is_listed or self.core.now() >= front.adopt_until_ms:
-                raise NoAdoptionError
+        if opening.existing_server and self.core.now() >= front.adopt_until_ms:
+            raise AdoptionPeriodOverError
         if not front.connection_ids.reserve(opening.connection_id):
             raise DuplicateConnectionIdError
         return opening
@@ -219,7 +217,11 @@
         return True
 
     async def _adopt(self, opening: Opening) -> None:
-        """Re-establish a connection that was open at a listed server before this program started."""
+        """Re-establish a connection that was open at its server before this program started.
+
+        The server may be missing from this relay's list, which was remembered or inherited and may be old. The
+        attempts go on until discovery has told the server's address.
+        """
         until = self.core.now() + ADOPTION_TIMEOUT_SECONDS * 1000
         attempt = StartAttempt(0, opening.existing_server, until)
         while not self.client.disconnected.done() and self.core.now() < until:
@@ -232,6 +234,7 @@
             if not result.proves_not_executed:
                 break
             await asyncio.sleep(ADOPTION_RETRY_DELAY_SECONDS)
+        self.front.counts["adoption_failed"] += 1
         await self.client.answer_failed()
 
     async def _serve_established(self, handle: RequestHandle) -> None:
