NATS: drop second copies also after a client has renewed its subscription

Cause: the ids by which a second copy is known belong to the subscription and end with it. Ruled out: the retention time (copies came after 9 s of 60).

Change: a subscription is owed nothing that was published before it began. FirstDeliveries notes for the relay, by tenant and credentials, when each message with an id was first delivered; a copy on a subscription that began later is dropped. This covers the same and other sids, wildcards, a new subscription before the old one's end, the last message of an UNSUB count, queue groups and a client's new session. JetStream deliveries are left out.

--- a/violetdoor/fronts/line/session.py
+++ b/violetdoor/fronts/line/session.py
@@ -219,8 +219,8 @@
     async def _adopt(self, opening: Opening) -> None:
         """Re-establish a connection that was open at its server before this program started.
 
-        The server may be missing from this relay's list, which was remembered or inherited and may be old. The
-        attempts go on until discovery has told the server's address.
+        The server may be missing from this relay's list, which was remembered or inherited and may be old.
+        The attempts go on until discovery has told the server's address.
         """
         until = self.core.now() + ADOPTION_TIMEOUT_SECONDS * 1000
         attempt = StartAttempt(0, opening.existing_server, until)
--- a/violetdoor/fronts/nats/client.py
+++ b/violetdoor/fronts/nats/client.py
@@ -47,6 +47,7 @@
         "_options",
         "_pending_read",
         "_prefetched_frames",
+        "account",
         "answers",
         "ended",
         "front",
@@ -71,6 +72,7 @@
         self.ended: asyncio.Future[SessionEnd] = asyncio.get_running_loop().create_future()
         self.identity: ClientIdentity | None = None  # None until the first frame is read
         self.name = ""  # user and name from its CONNECT
+        self.account = 0  # hash of the tenant and credentials: clients that differ in it share no messages
         self.is_verbose = True
         self.supports_headers = False
         self.upstream_connect = b""  # the CONNECT line sent to its servers
@@ -160,6 +162,8 @@
         self.name = f"{values.get('user')} {values.get('name')}"[:MAX_NAME_CHARACTERS]
         self.supports_headers = bool(values.get("headers", False))
         self.identity = self.front.identify(values, first, self.sock)
+        credentials = (str(values.get("user")), str(values.get("auth_token")))
+        self.account = hash((self.identity.tenant, credentials))
         upstream = values | {"verbose": False, "tls_required": False, "headers": True, "protocol": 1}
         upstream["no_responders"] = bool(values.get("no_responders")) and self.supports_headers
         self.upstream_connect = b"CONNECT " + orjson.dumps(upstream) + b"\r\n"
--- a/violetdoor/fronts/nats/client_operations.py
+++ b/violetdoor/fronts/nats/client_operations.py
@@ -188,7 +188,8 @@
         recent_ids = binding.group_ids(subject, queue)
         if recent_ids is None:
             recent_ids = RecentMessageIds(self._front.options.repeat_window, self._front.retention_budget)
-        subscription = Subscription(sid, subject, queue, recent_ids=recent_ids)
+        number = self._front.first_deliveries.begin_subscription()
+        subscription = Subscription(sid, subject, queue, number, recent_ids=recent_ids)
         binding.subscriptions[sid] = subscription
         if binding.connection is not None:
             binding.connection.out.enqueue(subscription.replay())
--- a/violetdoor/fronts/nats/frames.py
+++ b/violetdoor/fronts/nats/frames.py
@@ -22,6 +22,9 @@
 LINE_END = b"\r\n"
 VERSION_LINE = b"NATS/1.0"
 MESSAGE_ID_HEADER = b"nats-msg-id"
+JETSTREAM_ACK_PREFIX = (
+    b"$JS.ACK."  # of the subjects by which a JetStream consumer's messages are acknowledged
+)
 
 
 class ArgumentCount(NamedTuple):
@@ -31,6 +34,13 @@
     maximum: int
 
 
+class ReplyForm(NamedTuple):
+    """Where the arguments of an operation have a reply subject."""
+
+    argument_count: int  # with a reply subject
+    position: int
+
+
 CLIENT_OPERATIONS = {
     "CONNECT": ArgumentCount(1, 1),
     "PING": ArgumentCount(0, 0),
@@ -50,6 +60,12 @@
     "-ERR": ArgumentCount(0, 1),
 }
 PAYLOAD_OPERATIONS = {"PUB", "HPUB", "MSG", "HMSG"}  # last argument: size of headers and payload in bytes
+REPLY_FORMS = {
+    "PUB": ReplyForm(3, 1),
+    "HPUB": ReplyForm(4, 1),
+    "MSG": ReplyForm(4, 2),
+    "HMSG": ReplyForm(5, 2),
+}
 HEADER_OPERATIONS = {"HPUB", "HMSG"}  # last argument but one: size of the headers in bytes
 REST_OF_LINE_OPERATIONS = {"CONNECT", "INFO", "-ERR"}  # one argument: the rest of the line
 
@@ -206,6 +222,17 @@
     return b""
 
 
+def reply_subject(frame: Frame) -> bytes:
+    """Return the reply subject of a frame with a payload, empty if there is none."""
+    form = REPLY_FORMS[frame.operation]
+    return frame.arguments[form.position] if len(frame.arguments) == form.argument_count else b""
+
+
+def is_jetstream_delivery(frame: Frame) -> bool:
+    """Return whether a MSG or HMSG comes from a JetStream consumer, by its reply subject."""
+    return reply_subject(frame).startswith(JETSTREAM_ACK_PREFIX)
+
+
 def error_text(frame: Frame) -> str:
     """Return the text of an -ERR."""
     if not frame.arguments:
--- a/violetdoor/fronts/nats/front.py
+++ b/violetdoor/fronts/nats/front.py
@@ -21,7 +21,7 @@
 )
 from violetdoor.fronts.nats.frames import Frame, error
 from violetdoor.fronts.nats.front_protocol import ClientIdentity
-from violetdoor.fronts.nats.message_ids import RetentionBudget
+from violetdoor.fronts.nats.message_ids import FirstDeliveries, RetentionBudget
 from violetdoor.fronts.nats.options import NatsOptions
 from violetdoor.fronts.nats.session import Session
 from violetdoor.net.acceptor import Acceptor
@@ -61,6 +61,7 @@
         self.is_shutting_down = False
         self.sessions: set[Session] = set()
         self.retention_budget = RetentionBudget(self.counts)
+        self.first_deliveries = FirstDeliveries(self.counts)
         self.core.classes_in_use = self._classes_in_use
         self._client_ids = itertools.count(1)
         self._full_answer = self.info(0) + error(TOO_MANY_CONNECTIONS)
--- a/violetdoor/fronts/nats/front_protocol.py
+++ b/violetdoor/fronts/nats/front_protocol.py
@@ -11,7 +11,7 @@
 
     from violetdoor.core import Controller
     from violetdoor.fronts.nats.frames import Frame
-    from violetdoor.fronts.nats.message_ids import RetentionBudget
+    from violetdoor.fronts.nats.message_ids import FirstDeliveries, RetentionBudget
     from violetdoor.fronts.nats.options import NatsOptions
     from violetdoor.net.acceptor import Acceptor
     from violetdoor.net.counters import Counters
@@ -42,6 +42,7 @@
     options: NatsOptions
     deadlines_ms: Mapping[str, float]  # by request class
     retention_budget: RetentionBudget
+    first_deliveries: FirstDeliveries
 
     @property
     def reads_first_operation(self) -> bool:
--- a/violetdoor/fronts/nats/message_ids.py
+++ b/violetdoor/fronts/nats/message_ids.py
@@ -1,8 +1,9 @@
-"""The message ids that subscriptions have delivered, by which a second copy of a message is recognized.
+"""The ids of delivered messages, by which a second copy of a message is recognized.
 
 A relay sends an unconfirmed publication again on another server. The first server may run its own copy much
 later, once it recovers. Each subscription therefore recognizes an id for `RETENTION_SECONDS` after its first
-delivery, and the last `min_count` ids however long ago that was.
+delivery, and the last `min_count` ids however long ago that was. What a client got on an ended subscription,
+or in an earlier session, is recognized by the relay's record of first deliveries.
 """
 
 from __future__ import annotations
@@ -14,6 +15,7 @@
 
 RETENTION_SECONDS = 60.0  # servers that hang recover within 25 s
 MAX_RETAINED_IDS = 262_144  # of all subscriptions of a relay together; 8 bytes each
+MAX_GENERATION_DELIVERIES = 131_072  # first deliveries in each of the two generations
 
 
 class RetentionBudget:
@@ -85,5 +87,55 @@
         self._newer = array("q")
 
 
+class FirstDeliveries:
+    """The messages that a relay has delivered to anyone, in two generations of at least the retention time.
+
+    A subscription is owed no message that was published before it began. So if the first delivery of a
+    message came before that, whoever received it, then what arrives on the subscription is a second copy.
+    """
+
+    def __init__(self, counts: Counters, max_per_generation: int = MAX_GENERATION_DELIVERIES) -> None:
+        """Start without deliveries; `counts` gets the number of generations that were forgotten early."""
+        self._counts = counts
+        self._max_per_generation = max_per_generation
+        self._subscription_count = 0  # subscriptions begun so far
+        # By the message's hash: the number of subscriptions that had begun at the first delivery.
+        self._newer: dict[int, int] = {}
+        self._older: dict[int, int] = {}
+        self._newer_since = 0.0  # time of the first delivery of the newer generation, s
+
+    def begin_subscription(self) -> int:
+        """Return the number of a subscription that begins now."""
+        self._subscription_count += 1
+        return self._subscription_count
+
+    def precedes(self, message: int, subscription_number: int) -> bool:
+        """Return whether a message was first delivered before this subscription began."""
+        begun_before = self._newer.get(message, self._older.get(message))
+        return begun_before is not None and begun_before < subscription_number
+
+    def record(self, message: int, now: float) -> None:
+        """Record a delivery of a message unless one is recorded already. `now` is in s."""
+        if message in self._newer or message in self._older:
+            return
+        if self._is_newer_complete(now):
+            self._older = self._newer
+            self._newer = {}
+        if not self._newer:
+            self._newer_since = now
+        self._newer[message] = self._subscription_count
+
+    def _is_newer_complete(self, now: float) -> bool:
+        """Return whether the older generation may be forgotten."""
+        if not self._newer:
+            return False
+        if now - self._newer_since >= RETENTION_SECONDS:
+            return True
+        if len(self._newer) >= self._max_per_generation:
+            self._counts["message_ids_forgotten_early"] += 1
+            return True
+        return False
+
+
 def _has(values: array[int], position: int, value: int) -> bool:
     return position < len(values) and values[position] == value
--- a/violetdoor/fronts/nats/server_reader.py
+++ b/violetdoor/fronts/nats/server_reader.py
@@ -16,6 +16,7 @@
     from violetdoor.fronts.nats.front_protocol import Front
     from violetdoor.fronts.nats.server_binding import ServerBinding
     from violetdoor.fronts.nats.server_connection import ServerConnection
+    from violetdoor.fronts.nats.state import Subscription
 
 log = logging.getLogger("violetdoor.nats")
 
@@ -110,8 +111,7 @@
             self._counts["messages_unwanted"] += 1
             return
         subscription.received += 1
-        dedup_id = frames.message_id(frame.headers)
-        if dedup_id and subscription.is_duplicate(dedup_id, self._loop.time()):
+        if self._is_duplicate(frame, subscription):
             self._counts["messages_repeated"] += 1
             if subscription.max_messages:  # the server counted the duplicate: restore the count
                 lines = frames.unsubscribe(subscription.sid) + subscription.replay()
@@ -126,6 +126,24 @@
         else:
             client.out.enqueue(frame.raw)
 
+    def _is_duplicate(self, frame: Frame, subscription: Subscription) -> bool:
+        """Return whether the client had this message already, in any session; record it if not.
+
+        A JetStream consumer sends stored messages, so earlier ones may come on a new subscription.
+        """
+        dedup_id = frames.message_id(frame.headers)
+        if not dedup_id:
+            return False
+        now = self._loop.time()
+        if frames.is_jetstream_delivery(frame):
+            return subscription.is_duplicate(dedup_id, now)
+        deliveries = self._front.first_deliveries
+        message = hash((self._client.account, frame.arguments[0], dedup_id))
+        if deliveries.precedes(message, subscription.number) or subscription.is_duplicate(dedup_id, now):
+            return True
+        deliveries.record(message, now)
+        return False
+
     def _handle_pong(self) -> None:
         """Confirm the publications that were sent before the PING that this PONG answers."""
         pending_pings = self._connection.pending_pings
--- a/violetdoor/fronts/nats/state.py
+++ b/violetdoor/fronts/nats/state.py
@@ -6,11 +6,10 @@
 from dataclasses import dataclass
 
 from violetdoor.fronts.nats.answers import Answer
-from violetdoor.fronts.nats.frames import Frame, message_id, subscribe, unsubscribe
+from violetdoor.fronts.nats.frames import Frame, message_id, reply_subject, subscribe, unsubscribe
 from violetdoor.fronts.nats.message_ids import RecentMessageIds
 
 PUBLICATION_OVERHEAD_BYTES = 192  # memory per stored publication and its answer, besides its own bytes
-ARGUMENTS_WITH_REPLY = {"PUB": 3, "HPUB": 4}  # number of arguments if the second one is a reply subject
 
 
 @dataclass(slots=True)
@@ -20,6 +19,7 @@
     sid: bytes
     subject: bytes
     queue: bytes = b""
+    number: int = 0  # order among all subscriptions of the relay
     max_messages: int = 0  # ends after this many messages; 0: no limit
     delivered: int = 0  # messages to the client from all servers
     received: int = 0  # messages from the current server, including duplicates, as it counts them
@@ -79,8 +79,7 @@
 
     def add(self, frame: Frame, answer: Answer) -> None:
         """Add a publication that is about to be sent, and the answer that it is owed."""
-        has_reply = len(frame.arguments) == ARGUMENTS_WITH_REPLY[frame.operation]
-        reply = frame.arguments[1] if has_reply else b""
+        reply = reply_subject(frame)
         dedup_id = message_id(frame.headers)
         raw = frame.raw if dedup_id else b""
         self._append(Publication(answer, dedup_id, reply, raw, len(frame.raw) + PUBLICATION_OVERHEAD_BYTES))
