NATS: one final answer to a request whose server dies

What callors saw: a request that its server passes on before it dies gets a 503 that the relay made, and 0.6 s later the service's answer.

Cause: every request without a PONG was taken for failed and answered at once, by `headers` in place of `no_responders`, and nothing remembered that it had its answer. The same code answered requests that had been answered before the death, and verbose clients on top of their -ERR.

Change: RequestTracker matches messages with requests. An answered one has run: neither lost nor sent again. Late answers, and those of copies that were sent again, are dropped, one for each copy.

One test changes: its client sets no_responders now, as without it a 503 is an answer that nobody made; what it asserts is as before.

--- a/tests/test_nats_publications.py
+++ b/tests/test_nats_publications.py
@@ -32,7 +32,7 @@
             NatsServer(peers) as two,
             start_nats_relay(tmp_path, one, two) as it,
         ):
-            reader, writer = await Client.connect(it), await Client.connect(it)
+            reader, writer = await Client.connect(it), await Client.connect(it, no_responders=True)
             reader.send(b"SUB feed 7")
             writer.send(b"SUB inbox 9")
             await reader.flush()
--- a/violetdoor/fronts/nats/client.py
+++ b/violetdoor/fronts/nats/client.py
@@ -58,6 +58,7 @@
         "reader",
         "sock",
         "supports_headers",
+        "supports_statuses",
         "upstream_connect",
     )
 
@@ -75,6 +76,7 @@
         self.account = 0  # hash of the tenant and credentials: clients that differ in it share no messages
         self.is_verbose = True
         self.supports_headers = False
+        self.supports_statuses = False  # it asked for a status in place of an answer that nobody can give
         self.upstream_connect = b""  # the CONNECT line sent to its servers
         self._loop = asyncio.get_running_loop()
         self._options = options
@@ -165,7 +167,8 @@
         credentials = (str(values.get("user")), str(values.get("auth_token")))
         self.account = hash((self.identity.tenant, credentials))
         upstream = values | {"verbose": False, "tls_required": False, "headers": True, "protocol": 1}
-        upstream["no_responders"] = bool(values.get("no_responders")) and self.supports_headers
+        self.supports_statuses = bool(values.get("no_responders")) and self.supports_headers
+        upstream["no_responders"] = self.supports_statuses
         self.upstream_connect = b"CONNECT " + orjson.dumps(upstream) + b"\r\n"
 
     def _check_capacity(self) -> None:
--- a/violetdoor/fronts/nats/client_operations.py
+++ b/violetdoor/fronts/nats/client_operations.py
@@ -165,7 +165,7 @@
             self._reject(INVALID_SUBJECT)
             return
         binding, client = self._binding, self._client
-        binding.journal.add(frame, client.answers.add_publication(is_verbose=client.is_verbose))
+        binding.add_publication(frame, client.answers.add_publication(is_verbose=client.is_verbose))
         if binding.connection is not None:
             binding.connection.out.enqueue(frame.raw)
             if client.is_verbose:  # it may wait for this answer before it sends more
--- a/violetdoor/fronts/nats/server_reader.py
+++ b/violetdoor/fronts/nats/server_reader.py
@@ -111,9 +111,8 @@
             self._counts["messages_unwanted"] += 1
             return
         subscription.received += 1
-        if self._is_duplicate(frame, subscription):
-            self._counts["messages_repeated"] += 1
-            if subscription.max_messages:  # the server counted the duplicate: restore the count
+        if not self._is_wanted(frame, subscription):
+            if subscription.max_messages:  # the server counted the message: restore the count
                 lines = frames.unsubscribe(subscription.sid) + subscription.replay()
                 self._connection.out.enqueue(lines)
             return
@@ -126,6 +125,16 @@
         else:
             client.out.enqueue(frame.raw)
 
+    def _is_wanted(self, frame: Frame, subscription: Subscription) -> bool:
+        """Return whether to deliver a message, which is neither a second copy nor a second answer."""
+        if self._is_duplicate(frame, subscription):
+            self._counts["messages_repeated"] += 1
+            return False
+        if not self._binding.requests.accept_message(frame.arguments[0]):
+            self._counts["replies_after_answer"] += 1
+            return False
+        return True
+
     def _is_duplicate(self, frame: Frame, subscription: Subscription) -> bool:
         """Return whether the client had this message already, in any session; record it if not.
 
@@ -151,7 +160,7 @@
             return
         ping = pending_pings.popleft()
         binding = self._binding
-        confirmed = binding.journal.confirm(ping.journal_mark)
+        confirmed = binding.confirm_publications(ping.journal_mark)
         self._counts["publications_confirmed"] += len(confirmed)
         self._client.answers.succeed(*(publication.answer for publication in confirmed))
         binding.confirmed.set()
--- a/violetdoor/fronts/nats/session.py
+++ b/violetdoor/fronts/nats/session.py
@@ -52,7 +52,7 @@
         self.core = front.core
         self.client_id = client_id
         self.client = NatsClient(front, sock)
-        self.binding = ServerBinding(self.client, front.counts)
+        self.binding = ServerBinding(front, self.client)
         self._loop = asyncio.get_running_loop()
         self.end_requested: asyncio.Future[None] = self._loop.create_future()  # by the relay
 
--- a/violetdoor/fronts/nats/state.py
+++ b/violetdoor/fronts/nats/state.py
@@ -6,8 +6,9 @@
 from dataclasses import dataclass
 
 from violetdoor.fronts.nats.answers import Answer
-from violetdoor.fronts.nats.frames import Frame, message_id, reply_subject, subscribe, unsubscribe
+from violetdoor.fronts.nats.frames import Frame, message_id, subscribe, unsubscribe
 from violetdoor.fronts.nats.message_ids import RecentMessageIds
+from violetdoor.fronts.nats.requests import Request
 
 PUBLICATION_OVERHEAD_BYTES = 192  # memory per stored publication and its answer, besides its own bytes
 
@@ -54,15 +55,21 @@
 
     answer: Answer
     message_id: bytes  # the Nats-Msg-Id, empty if there is none
-    reply: bytes
     raw: bytes  # kept only if the message has an id; otherwise empty
     size: int
+    request: Request | None = None  # if it has a reply subject
+
+    @property
+    def has_run(self) -> bool:
+        """Whether its server has passed it on, since a reply has come."""
+        return self.request is not None and self.request.has_reply
 
 
 @dataclass(slots=True, frozen=True)
 class UnconfirmedPublications:
     """The publications that a lost connection leaves unconfirmed."""
 
+    replied: list[Publication]  # a reply has come, so they have run
     resendable: list[Publication]  # with an id, by which duplicates are dropped
     lost: list[Publication]  # without an id: never sent again
 
@@ -77,12 +84,12 @@
         self.added_count = 0  # publications added so far
         self.confirmed_count = 0  # confirmed or given up among these
 
-    def add(self, frame: Frame, answer: Answer) -> None:
+    def add(self, frame: Frame, answer: Answer, request: Request | None) -> None:
         """Add a publication that is about to be sent, and the answer that it is owed."""
-        reply = reply_subject(frame)
         dedup_id = message_id(frame.headers)
         raw = frame.raw if dedup_id else b""
-        self._append(Publication(answer, dedup_id, reply, raw, len(frame.raw) + PUBLICATION_OVERHEAD_BYTES))
+        size = len(frame.raw) + PUBLICATION_OVERHEAD_BYTES
+        self._append(Publication(answer, dedup_id, raw, size, request))
 
     def _append(self, publication: Publication) -> None:
         self.unconfirmed.append(publication)
@@ -97,12 +104,14 @@
         return confirmed
 
     def split_after_break(self) -> UnconfirmedPublications:
-        """Keep the publications with an id for resending and give up the others; return both."""
-        resendable = [publication for publication in self.unconfirmed if publication.message_id]
-        lost = [publication for publication in self.unconfirmed if not publication.message_id]
+        """Keep the publications with an id for resending and give up the others; return all by their fate."""
+        replied = [publication for publication in self.unconfirmed if publication.has_run]
+        uncertain = [publication for publication in self.unconfirmed if not publication.has_run]
+        resendable = [publication for publication in uncertain if publication.message_id]
+        lost = [publication for publication in uncertain if not publication.message_id]
         self.unconfirmed.clear()
         self.size_bytes = 0
         self.confirmed_count = self.added_count
         for publication in resendable:
             self._append(publication)
-        return UnconfirmedPublications(resendable, lost)
+        return UnconfirmedPublications(replied, resendable, lost)
