NATS: bound the answers that the relay gives by itself, and take turns

What callers saw: while one client sends PUB a..b 0 at full speed and reads its answers, memory grows without end (28 to 86 MB in 5 s) and other clients wait (median 54 ms).

Cause: such answers were queued without a look at the queue's limit, and a read from a socket with data never suspends its task, so the task that writes had a turn now and then. Ruled out: the client's reading; PING and valid operations, whose answers were bounded already.

--- a/violetdoor/fronts/nats/client_operations.py
+++ b/violetdoor/fronts/nats/client_operations.py
@@ -14,6 +14,7 @@
     INTERNAL_ERROR,
     INVALID_SUBJECT,
     PARSER_ERROR,
+    SLOW_CLIENT,
     TOO_MANY_SUBSCRIPTIONS,
     ClientDeniedError,
     ProtocolError,
@@ -24,6 +25,7 @@
 from violetdoor.fronts.nats.state import Subscription
 from violetdoor.net.outbox import SlowReaderError
 from violetdoor.net.sockets import DISCONNECT_POLL_INTERVAL_SECONDS, is_peer_closed
+from violetdoor.net.task_turn import TaskTurn
 
 if TYPE_CHECKING:
     from violetdoor.fronts.nats.client import NatsClient
@@ -54,6 +56,7 @@
         """Execute the client's operations until it disconnects, violates the protocol, or is stale."""
         client = self._client
         end = END_WITHOUT_ERROR
+        turn = TaskTurn()
         frame: Frame | None = first
         try:
             while frame is not None:
@@ -61,10 +64,14 @@
                     break
                 self._execute(frame)
                 await self._apply_backpressure()
+                if turn.is_over_after_step():
+                    await asyncio.sleep(0)
                 frame = await client.next_frame()
         except (ProtocolError, ClientDeniedError) as err:
             self._counts["nats_malformed"] += 1
             end = SessionEnd(str(err))
+        except SlowReaderError:
+            end = SLOW_CLIENT
         except OSError as err:
             log.info("client connection broke: %s; ending its session", err)
         except Exception:
@@ -103,8 +110,12 @@
         return frame.operation in ("PUB", "HPUB") or len(binding.unanswered_pings) >= MAX_UNANSWERED_PINGS
 
     async def _apply_backpressure(self) -> None:
-        """Wait while too many bytes of the client's publications are unconfirmed or not written yet."""
+        """Wait while too many answers are queued, or publications are unconfirmed or not written yet.
+
+        Raises SlowReaderError if the client does not read its answers.
+        """
         binding = self._binding
+        await self._client.out.wait_for_capacity()
         journal = binding.journal
         max_unconfirmed = self._front.options.max_unconfirmed_bytes
         connection = binding.connection
--- a/violetdoor/fronts/nats/server_reader.py
+++ b/violetdoor/fronts/nats/server_reader.py
@@ -9,6 +9,7 @@
 from violetdoor.fronts.nats import frames
 from violetdoor.fronts.nats.errors import ProtocolError
 from violetdoor.fronts.nats.frames import Frame, error_text
+from violetdoor.net.task_turn import TaskTurn
 
 if TYPE_CHECKING:
     from violetdoor.core import RequestHandle
@@ -46,12 +47,15 @@
     async def run(self) -> None:
         """Handle the server's frames until it disconnects; raise OSError if the client stops reading."""
         connection = self._connection
+        turn = TaskTurn()
         try:
             while (frame := await connection.reader.read_frame()) is not None:
                 if frame.operation in ("MSG", "HMSG"):
                     await self._forward_message(frame)
                 else:
                     self._handle(frame)
+                if turn.is_over_after_step():
+                    await asyncio.sleep(0)
         except (ProtocolError, ValueError) as err:
             log.warning(
                 "server %s violated the NATS protocol: %s; closing its connection", self._request.server, err
