NATS: do not count this relay's own delay as a server's set-up time

Cause: the set-up time was taken when this process read the PONG. With 100 handshakes in hand the loop is late (trace: 24 ms, 5 to 9 of them the server's), so the module takes servers for overloaded and migrates. PONG times alike (trace: 27 ms, 20 of them unread). Ruled out: reported message delays (none in the trace), the servers (kernel's segment times).

Change: the front reports the server's part, by TCP_INFO.

--- a/violetdoor/core/request_handle.py
+++ b/violetdoor/core/request_handle.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 from collections import deque
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
@@ -155,9 +156,12 @@
 
     # Established connection.
 
-    def connection_established(self) -> None:
-        """Report that the connection of the current attempt is established at its server."""
-        latency = self._controller.now() - self._attempt_started_at
+    def connection_established(self, setup_ms: float = math.inf) -> None:
+        """Report that the connection of the current attempt is established at its server.
+
+        `setup_ms` is the part of the time that the server took, if the front can tell it from this relay's.
+        """
+        latency = min(setup_ms, self._controller.now() - self._attempt_started_at)
         self._controller.add_established(self)
         self._controller.handle(ConnectionEstablished(self.request_id, self.attempt, self.server, latency))
 
--- a/violetdoor/fronts/nats/attempt.py
+++ b/violetdoor/fronts/nats/attempt.py
@@ -26,6 +26,7 @@
     if client.is_disconnected:
         return AttemptResult.CANCELLED
     time_left = (attempt.timeout_at_ms - front.core.now()) / 1000
+    started_at = asyncio.get_running_loop().time()
     address = front.directory.addresses.get(attempt.server)
     if address is None or time_left <= 0:
         return AttemptResult.UNREACHABLE
@@ -33,7 +34,7 @@
         sock = await connect(address, min(time_left, front.options.connect_timeout))
     except OSError:
         return AttemptResult.UNREACHABLE
-    connection = ServerConnection(sock, front.options.silence_timeout)
+    connection = ServerConnection(sock, front.options.silence_timeout, started_at)
     is_up = False
     try:
         result = await _handshake(front, client, attempt, connection)
--- a/violetdoor/fronts/nats/server_connection.py
+++ b/violetdoor/fronts/nats/server_connection.py
@@ -17,6 +17,7 @@
 from violetdoor.fronts.nats.frames import SERVER_OPERATIONS, Frame, FrameReader, error_text
 from violetdoor.net.outbox import Outbox
 from violetdoor.net.sockets import close_socket
+from violetdoor.net.tcp_info import segment_ages
 
 MAX_SERVER_PAYLOAD_BYTES = 1024 * 1024  # limit of one message from a server
 MAX_QUEUED_BYTES = 256 * 1024  # queue limit towards a server; beyond it the client waits
@@ -43,8 +44,11 @@
 class ServerConnection:
     """A connection to a NATS server."""
 
-    def __init__(self, sock: socket.socket, write_timeout_seconds: float) -> None:
-        """Start on a connected socket; a write fails if the server reads nothing for the timeout."""
+    def __init__(self, sock: socket.socket, write_timeout_seconds: float, started_at: float) -> None:
+        """Start on a connected socket; a write fails if the server reads nothing for the timeout.
+
+        `started_at`: when the connection was begun (s, loop clock).
+        """
         self.sock = sock
         self.reader = FrameReader(sock, SERVER_OPERATIONS, MAX_SERVER_PAYLOAD_BYTES)
         self.out = Outbox(sock, MAX_QUEUED_BYTES, write_timeout_seconds)
@@ -52,6 +56,9 @@
         self.info: dict[str, Any] = {}  # merged values of all INFO lines, the latest of each
         self.denial = ""  # text of the -ERR that denied the client; empty if none did
         self.is_connect_sent = False
+        # The time that the server took for the set-up, without the time that its data waited for this relay.
+        self.setup_ms = 0.0
+        self._started_at = started_at
 
     @property
     def is_draining(self) -> bool:
@@ -88,6 +95,8 @@
                     return result
         except (ProtocolError, ValueError):
             return AttemptResult.ERROR
+        except OSError:
+            return AttemptResult.RESET
         return AttemptResult.RESET
 
     def _handle_handshake_frame(
@@ -96,11 +105,14 @@
         """Return the result if this frame ends the handshake, else None."""
         match frame.operation:
             case "INFO":
+                self._add_greeting_time()
                 self.update_info(frame.arguments[0])
                 return self._send_connect(connect, reason_not_to_send)
             case "PING":
                 self.out.enqueue(b"PONG\r\n")
             case "PONG":
+                ages = segment_ages(self.sock)
+                self.setup_ms += max(0, ages.sent_ms - ages.received_ms)
                 return AttemptResult.OK
             case "-ERR":
                 text = error_text(frame)
@@ -111,6 +123,12 @@
                 return AttemptResult.ERROR
         return None
 
+    def _add_greeting_time(self) -> None:
+        """Add the time until the first INFO to the set-up time."""
+        if not self.is_connect_sent:
+            elapsed_ms = (asyncio.get_running_loop().time() - self._started_at) * 1000
+            self.setup_ms = max(0.0, elapsed_ms - segment_ages(self.sock).received_ms)
+
     def _send_connect(
         self, connect: bytes, reason_not_to_send: Callable[[], AttemptResult | None]
     ) -> AttemptResult | None:
--- a/violetdoor/fronts/nats/server_reader.py
+++ b/violetdoor/fronts/nats/server_reader.py
@@ -10,6 +10,7 @@
 from violetdoor.fronts.nats.errors import ProtocolError
 from violetdoor.fronts.nats.frames import Frame, error_text
 from violetdoor.net.task_turn import TaskTurn
+from violetdoor.net.tcp_info import segment_ages
 
 if TYPE_CHECKING:
     from violetdoor.core import RequestHandle
@@ -168,8 +169,9 @@
         self._counts["publications_confirmed"] += len(confirmed)
         self._client.answers.succeed(*(publication.answer for publication in confirmed))
         binding.confirmed.set()
-        delay_ms = (self._loop.time() - ping.sent_at) * 1000
-        self._front.core.message_delays.add(self._request.server, delay_ms)
+        unread_ms = segment_ages(self._connection.sock).received_ms  # how long it waited for this relay
+        delay_ms = (self._loop.time() - ping.sent_at) * 1000 - unread_ms
+        self._front.core.message_delays.add(self._request.server, max(0.0, delay_ms))
         if ping.answer is not None:
             self._client.answers.succeed(ping.answer)
         if self._client.is_verbose:
--- a/violetdoor/fronts/nats/session.py
+++ b/violetdoor/fronts/nats/session.py
@@ -129,7 +129,7 @@
                 self._count_attempt(AttemptResult.OK)
                 self.front.counts["nats_placed"] += 1
                 self.front.metrics.increment("ok", client.request_class)
-                handle.connection_established()
+                handle.connection_established(outcome.setup_ms)
                 return outcome
             if outcome is AttemptResult.CANCELLED:
                 client.end(END_WITHOUT_ERROR)
