NATS: let a session that was moved wait for room in place of ending it

What callers saw: a session that stands, on a sound server, is ended with -ERR 'Maximum Connections Exceeded' after the relay has migrated it.

Cause: a migrated session is placed like a new request, and a rejection by the module was its end. Ruled out: the server's end (it answered).

Change: a rejection of a session that stood is asked again after its Retry-After, for 10 s, while there are servers and no shutdown.

test_session_that_is_moved_and_finds_no_place_waits_for_one fails on the base and passes.

--- a/tests/test_nats_standing_sessions.py
+++ b/tests/test_nats_standing_sessions.py
@@ -59,6 +59,31 @@
     run(test)
 
 
+def test_session_that_is_moved_and_finds_no_place_waits_for_one(tmp_path: Path) -> None:
+    """Guards against -ERR to a session that stood, as the relay decided to move it."""
+
+    async def test() -> None:
+        async with HeldGreeting() as server, start_nats_relay(tmp_path, server, deadline=1000) as it:
+            client = await connect_standing(it, server)
+            others = []
+            counters: dict[str, int] = {}
+            while not counters.get("nats_waited"):
+                others.append(await Client.connect(it))
+                others[-1].send(b"SUB others 1", b"PING")
+                await asyncio.sleep(SLOW_SETUP_SECONDS)
+                server.released.release()
+                counters = await it.counters()
+            for _ in range(100):
+                server.released.release()
+            assert await client.flush() == []
+            for other in others:
+                other.writer.close()
+            client.publish("again", identity="id-1")
+            assert (await client.flush())[-1] == b"again"
+
+    run(test)
+
+
 def test_clients_that_connect_at_once_end_no_other_session(tmp_path: Path) -> None:
     """Guards against sessions that are moved off idle servers by a burst of new clients, and then refused."""
 
--- a/violetdoor/fronts/nats/front_protocol.py
+++ b/violetdoor/fronts/nats/front_protocol.py
@@ -43,6 +43,7 @@
     deadlines_ms: Mapping[str, float]  # by request class
     retention_budget: RetentionBudget
     first_deliveries: FirstDeliveries
+    is_shutting_down: bool
 
     @property
     def reads_first_operation(self) -> bool:
--- a/violetdoor/fronts/nats/session.py
+++ b/violetdoor/fronts/nats/session.py
@@ -10,6 +10,7 @@
 import asyncio
 import logging
 import socket
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from violetdoor.balancing.actions import FailRequest, Reject, StartAttempt
@@ -38,9 +39,24 @@
 
 log = logging.getLogger("violetdoor.nats")
 
+MAX_REPLACEMENT_SECONDS = 10.0  # until a session that lost its server and finds no room for it is ended
 DEADLINE_MARGIN_MS = 50.0  # a rejection this close to the deadline counts as a timeout
 
 
+@dataclass(slots=True, frozen=True)
+class Refusal:
+    """Why a client was not placed, and how its session ends if it is not placed again."""
+
+    end: SessionEnd
+    retry_after_ms: float = 0.0  # 0 if the decision was not a rejection
+    is_by_relay: bool = True  # the client has not ended the session itself
+
+    @property
+    def is_retryable(self) -> bool:
+        """Whether the client may be placed later: there are servers, and none has room now."""
+        return self.retry_after_ms > 0 and self.end.error_text == NO_CAPACITY
+
+
 class Session:
     """Serves one NATS client."""
 
@@ -89,6 +105,7 @@
     async def _serve(self) -> SessionEnd:
         """Place the client on one server after another; return how the session ends."""
         is_reconnect = False
+        replace_until = 0.0  # s, loop clock; no later than this, a session that stood is placed again
         while True:
             identity = self.client.identity
             assert identity is not None
@@ -102,16 +119,35 @@
             handle = self.core.open_request(attributes, self.front.deadlines_ms[identity.request_class])
             try:
                 placed = await self._place(handle)
-                if isinstance(placed, SessionEnd):
-                    return placed
-                is_reconnect = True
-                end = await self._serve_on_server(handle, placed)
-                if end is not None:
-                    return end
+                if isinstance(placed, ServerConnection):
+                    is_reconnect = True
+                    end = await self._serve_on_server(handle, placed)
+                    replace_until = self._loop.time() + MAX_REPLACEMENT_SECONDS
             finally:
                 handle.close()
+            if isinstance(placed, Refusal):
+                end = await self._wait_for_capacity(placed, replace_until)
+            if end is not None:
+                return end
+
+    async def _wait_for_capacity(self, refusal: Refusal, replace_until: float) -> SessionEnd | None:
+        """Wait before a session that stood is placed again; return how it ends, None to place it again.
 
-    async def _place(self, handle: RequestHandle) -> ServerConnection | SessionEnd:
+        A migration is this relay's decision. It must not end a session for which there is no place right now.
+        """
+        wait_seconds = refusal.retry_after_ms / 1000
+        is_over = self._loop.time() + wait_seconds >= replace_until
+        if not refusal.is_retryable or is_over or self.front.is_shutting_down:
+            self._count_refusal(refusal)
+            return refusal.end
+        self.front.counts["nats_waited"] += 1
+        ends = (self.client.ended, self.end_requested)
+        await asyncio.wait(ends, timeout=wait_seconds, return_when=asyncio.FIRST_COMPLETED)
+        if self.client.ended.done():
+            return self.client.ended.result()
+        return END_WITHOUT_ERROR if self.end_requested.done() else None
+
+    async def _place(self, handle: RequestHandle) -> ServerConnection | Refusal:
         """Carry out the core's attempts until a server is up; return its connection, or the final answer."""
         client = self.client
         has_timed_out = False
@@ -120,9 +156,12 @@
             match decision:
                 case None | ClientDisconnected():
                     handle.client_disconnected()
-                    return client.ended.result()
-                case FailRequest() | Reject():
-                    return self._final_answer(handle, decision, has_timed_out=has_timed_out)
+                    return Refusal(client.ended.result(), is_by_relay=False)
+                case FailRequest():
+                    return Refusal(self._final_answer(handle, has_timed_out=has_timed_out))
+                case Reject():
+                    end = self._final_answer(handle, has_timed_out=has_timed_out)
+                    return Refusal(end, decision.retry_after_ms)
                 case StartAttempt():
                     outcome = await attempt_server(self.front, client, decision)
             if isinstance(outcome, ServerConnection):
@@ -142,13 +181,14 @@
     def _count_attempt(self, result: AttemptResult) -> None:
         self.front.counts[f"nats_attempt_{result.value}"] += 1
 
-    def _final_answer(
-        self, handle: RequestHandle, decision: FailRequest | Reject, *, has_timed_out: bool
-    ) -> SessionEnd:
+    def _count_refusal(self, refusal: Refusal) -> None:
+        if refusal.is_by_relay:
+            self.front.counts["nats_refused"] += 1
+            metric = "shed" if refusal.retry_after_ms else "errors"
+            self.front.metrics.increment(metric, self.client.request_class)
+
+    def _final_answer(self, handle: RequestHandle, *, has_timed_out: bool) -> SessionEnd:
         """Return the final answer to a client that cannot be placed."""
-        self.front.counts["nats_refused"] += 1
-        metric = "shed" if isinstance(decision, Reject) else "errors"
-        self.front.metrics.increment(metric, self.client.request_class)
         if not self.core.has_ready_server():
             return SessionEnd(NO_SERVERS)
         if has_timed_out or self.core.now() > handle.deadline_ms - DEADLINE_MARGIN_MS:
