NATS: begin nothing long after its client has left

What callers saw: a client writes 20,000 publications in one go and resets its connection; they go on running for longer than the 0.1 s of the rule.

Cause: operations in the socket are executed before its end is read, and the socket was looked at only while the client had no server. Ruled out: the queue towards the server, which ends with the session; the line front, which looks right before an attempt's first byte.

Change: DisconnectMonitor looks every 20 ms; once the peer has closed and its last data is over 60 ms old by the kernel's times, the rest is dropped.

--- a/violetdoor/fronts/nats/client_operations.py
+++ b/violetdoor/fronts/nats/client_operations.py
@@ -23,6 +23,7 @@
 from violetdoor.fronts.nats.frames import Frame
 from violetdoor.fronts.nats.message_ids import RecentMessageIds
 from violetdoor.fronts.nats.state import Subscription
+from violetdoor.net.disconnect_monitor import DisconnectMonitor
 from violetdoor.net.outbox import SlowReaderError
 from violetdoor.net.sockets import DISCONNECT_POLL_INTERVAL_SECONDS, is_peer_closed
 from violetdoor.net.task_turn import TaskTurn
@@ -57,11 +58,15 @@
         client = self._client
         end = END_WITHOUT_ERROR
         turn = TaskTurn()
+        monitor = DisconnectMonitor(client.sock)
         frame: Frame | None = first
         try:
             while frame is not None:
                 if not await self._wait_until_executable(frame):
                     break
+                if monitor.has_left():
+                    self._counts["nats_left_unread"] += 1
+                    break
                 self._execute(frame)
                 await self._apply_backpressure()
                 if turn.is_over_after_step():
