Upgrade: tell the other process of an id as soon as a connection has taken it

Cause: the old process told its ids every 200 ms, the new one none.

Change: ConnectionIds tells each id when it is reserved, before the attempt; the reports of every 200 ms stay as they are.

The test of recorded messages checks the new message, and the recorded ones are as they were.

--- a/tests/test_recorded_upgrade.py
+++ b/tests/test_recorded_upgrade.py
@@ -269,6 +269,7 @@
         messages["stopped"] = await other.line()
         if process.line is not None:
             assert process.line.front.connection_ids.reserve(0x73)
+            assert await other.line() == '{"ids":["73"]}\n'  # at once, and again in the report
         messages["still_held"] = await other.line()
         other.close()
     for sock in shared:
--- a/violetdoor/fronts/line/connection_ids.py
+++ b/violetdoor/fronts/line/connection_ids.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 MAX_ENDED_IDS = 4096  # ids of ended connections that stay reserved
 
@@ -15,8 +15,9 @@
     would count as a failure of a healthy server.
     """
 
-    def __init__(self) -> None:
-        """Start with no id in use."""
+    def __init__(self, on_reserved: Callable[[str], None] = lambda _hex_id: None) -> None:
+        """Start with no id in use; `on_reserved` gets each id, in hex, that a connection has taken."""
+        self._on_reserved = on_reserved
         self.open: set[int] = set()
         self._ended: OrderedDict[int, None] = OrderedDict()  # oldest first
 
@@ -25,6 +26,7 @@
         if connection_id in self.open or connection_id in self._ended:
             return False
         self.open.add(connection_id)
+        self._on_reserved(f"{connection_id:x}")
         return True
 
     def release(self, connection_id: int) -> None:
--- a/violetdoor/fronts/line/front.py
+++ b/violetdoor/fronts/line/front.py
@@ -21,6 +21,7 @@
 from violetdoor.net.acceptor import Acceptor
 from violetdoor.net.line_socket import LineSocket, LineTooLongError
 from violetdoor.net.sockets import listen, printable_reason
+from violetdoor.upgrade.messages import UsageReport
 
 if TYPE_CHECKING:
     from violetdoor.core import RequestHandle
@@ -48,7 +49,8 @@
         self.gate = host.gate
         self.options = options
         self.load_notes = LoadNoteClassifier()
-        self.connection_ids = ConnectionIds()
+        # An id that comes to the other process of an upgrade must not run there again.
+        self.connection_ids = ConnectionIds(lambda hex_id: host.send_to_peer(UsageReport(ids=[hex_id])))
         listener = host.inherited_listener or listen(host.config.listen, reuse_port=True)
         self.acceptor = Acceptor(listener, self._serve, host.counters, host.config.max_sockets, b"BUSY\r\n")
         if self.gate is not None:
--- a/violetdoor/upgrade/messages.py
+++ b/violetdoor/upgrade/messages.py
@@ -142,7 +142,10 @@
 
 
 class UsageReport(Struct):
-    """Resources that the sender still uses, reported regularly to its successor."""
+    """Resources that the sender still uses, reported regularly to its successor.
+
+    An id is sent by itself as soon as a connection has taken it, and again with the next report.
+    """
 
     resources: ResourceUsage | UnsetType = field(name="beside", default=UNSET)
     ids: list[str] | UnsetType = UNSET  # request ids not yet reported, in hexadecimal
