NATS: report first deliveries to the process that takes over

Cause: the record of first deliveries stood in one process, under hashes that differ from process to process.

test_second_copy_at_the_other_process_of_an_upgrade_is_dropped fails without the change (one copy of each of 100 ids) and passes. A publication with an id that comes again in a new session of its publisher runs again at the server, as its client sends it twice, and is delivered once; that test passes before the change as well.

--- a/tests/test_nats_renewed_subscriptions.py
+++ b/tests/test_nats_renewed_subscriptions.py
@@ -5,8 +5,8 @@
 from pathlib import Path
 
 import pytest
-from nats_peers import Client, start_nats_relay
-from standins import NatsServer, run, wait_until
+from nats_peers import Client, start_nats_relay, write
+from standins import NatsServer, relay, run, wait_until
 
 from violetdoor.fronts.nats.message_ids import RETENTION_SECONDS, FirstDeliveries
 from violetdoor.net.counters import Counters
@@ -87,6 +87,61 @@
     run(test)
 
 
+def test_publication_that_comes_again_in_a_new_session_is_delivered_once(tmp_path: Path) -> None:
+    """Guards against duplicates of an id that comes again after its client has left without an answer."""
+
+    async def test() -> None:
+        async with NatsServer() as server, start_nats_relay(tmp_path, server) as it:
+            subscriber = await Client.connect(it)
+            subscriber.send(b"SUB feed 1")
+            await subscriber.flush()
+            for session in range(2):
+                publisher = await Client.connect(it)
+                publisher.publish("text", identity="id-1")
+                await wait_until(lambda: len(server.published) == session + 1)  # noqa: B023
+                publisher.writer.close()
+            assert await received(subscriber) == [b"1"]
+
+    run(test)
+
+
+def test_second_copy_at_the_other_process_of_an_upgrade_is_dropped(tmp_path: Path) -> None:
+    """Guards against duplicates for a client that comes to the process that takes over."""
+
+    async def test() -> None:
+        console = 'console = "127.0.0.1:0"'
+        async with NatsServer() as server:
+            arguments = ("--config", str(write(tmp_path, server, discovery=console)))
+            async with relay(*arguments, TMPDIR=str(tmp_path)) as old:
+                client = await Client.connect(old)
+                client.send(b"SUB feed 1")
+                await client.flush()
+                for number in range(100):
+                    publish(server, f"id-{number}")
+                assert len(await received(client)) == 100
+                client.writer.close()
+                await wait_until(lambda: not server.subs)
+                async with relay(*arguments, TMPDIR=str(tmp_path)) as new:
+                    await new.wait_for_health()
+                    await old.wait_for_health(False)
+                    # What the old process has delivered is reported every 200 ms; each id is tried once.
+                    copies = 1
+                    tried = 0
+                    while copies and tried < 100:
+                        client = await Client.connect(new)
+                        client.send(b"SUB feed 1")
+                        await client.flush()
+                        publish(server, f"id-{tried}")
+                        copies = len(await received(client))
+                        client.writer.close()
+                        await wait_until(lambda: not server.subs)
+                        tried += 1
+                    assert not copies
+                    assert (await new.counters())["messages_repeated"] == 1
+
+    run(test)
+
+
 def test_other_subscriptions_get_their_copies(tmp_path: Path) -> None:
     """Guards against losses: each subscription that stood at the first delivery is owed the message."""
 
--- a/violetdoor/fronts/nats/client.py
+++ b/violetdoor/fronts/nats/client.py
@@ -73,7 +73,7 @@
         self.ended: asyncio.Future[SessionEnd] = asyncio.get_running_loop().create_future()
         self.identity: ClientIdentity | None = None  # None until the first frame is read
         self.name = ""  # user and name from its CONNECT
-        self.account = 0  # hash of the tenant and credentials: clients that differ in it share no messages
+        self.account = b""  # the tenant and credentials: clients that differ in it share no messages
         self.is_verbose = True
         self.supports_headers = False
         self.supports_statuses = False  # it asked for a status in place of an answer that nobody can give
@@ -164,8 +164,7 @@
         self.name = f"{values.get('user')} {values.get('name')}"[:MAX_NAME_CHARACTERS]
         self.supports_headers = bool(values.get("headers", False))
         self.identity = self.front.identify(values, first, self.sock)
-        credentials = (str(values.get("user")), str(values.get("auth_token")))
-        self.account = hash((self.identity.tenant, credentials))
+        self.account = orjson.dumps((self.identity.tenant, values.get("user"), values.get("auth_token")))
         upstream = values | {"verbose": False, "tls_required": False, "headers": True, "protocol": 1}
         self.supports_statuses = bool(values.get("no_responders")) and self.supports_headers
         upstream["no_responders"] = self.supports_statuses
--- a/violetdoor/fronts/nats/message_ids.py
+++ b/violetdoor/fronts/nats/message_ids.py
@@ -11,13 +11,21 @@
 from array import array
 from bisect import bisect_left
 
+import xxhash
+
 from violetdoor.net.counters import Counters
 
 RETENTION_SECONDS = 60.0  # servers that hang recover within 25 s
 MAX_RETAINED_IDS = 262_144  # of all subscriptions of a relay together; 8 bytes each
+MAX_REPORTED_DELIVERIES = 20_000  # in one message to a successor
 MAX_GENERATION_DELIVERIES = 131_072  # first deliveries in each of the two generations
 
 
+def message_hash(account: bytes, subject: bytes, message_id: bytes) -> int:
+    """Return the hash of a message, which is the same in all processes of a relay."""
+    return xxhash.xxh3_64_intdigest(b" ".join((account, subject, message_id)))
+
+
 class RetentionBudget:
     """The number of ids that all subscriptions of a relay retain, and its limit."""
 
@@ -99,6 +107,9 @@
         self._counts = counts
         self._max_per_generation = max_per_generation
         self._subscription_count = 0  # subscriptions begun so far
+        self._unreported: list[int] | None = (
+            None  # deliveries that the successor was not sent; None without one
+        )
         # By the message's hash: the number of subscriptions that had begun at the first delivery.
         self._newer: dict[int, int] = {}
         self._older: dict[int, int] = {}
@@ -124,6 +135,24 @@
         if not self._newer:
             self._newer_since = now
         self._newer[message] = self._subscription_count
+        if self._unreported is not None and len(self._unreported) < self._max_per_generation:
+            self._unreported.append(message)
+
+    def start_reporting(self) -> None:
+        """Report all deliveries to a successor from now on, those until now first."""
+        self._unreported = [*self._older, *self._newer]
+
+    def stop_reporting(self) -> None:
+        """Report no deliveries any more."""
+        self._unreported = None
+
+    def next_report(self) -> list[int]:
+        """Return the hashes of deliveries that were not reported yet, a limited number."""
+        if not self._unreported:
+            return []
+        report = self._unreported[:MAX_REPORTED_DELIVERIES]
+        del self._unreported[:MAX_REPORTED_DELIVERIES]
+        return report
 
     def _is_newer_complete(self, now: float) -> bool:
         """Return whether the older generation may be forgotten."""
--- a/violetdoor/fronts/nats/server_reader.py
+++ b/violetdoor/fronts/nats/server_reader.py
@@ -9,6 +9,7 @@
 from violetdoor.fronts.nats import frames
 from violetdoor.fronts.nats.errors import ProtocolError
 from violetdoor.fronts.nats.frames import Frame, error_text
+from violetdoor.fronts.nats.message_ids import message_hash
 from violetdoor.net.task_turn import TaskTurn
 from violetdoor.net.tcp_info import segment_ages
 
@@ -152,7 +153,7 @@
         if frames.is_jetstream_delivery(frame):
             return subscription.is_duplicate(dedup_id, now)
         deliveries = self._front.first_deliveries
-        message = hash((self._client.account, frame.arguments[0], dedup_id))
+        message = message_hash(self._client.account, frame.arguments[0], dedup_id)
         if deliveries.precedes(message, subscription.number) or subscription.is_duplicate(dedup_id, now):
             return True
         deliveries.record(message, now)
--- a/violetdoor/upgrade/messages.py
+++ b/violetdoor/upgrade/messages.py
@@ -151,6 +151,12 @@
     ids: list[str] | UnsetType = UNSET  # request ids not yet reported, in hexadecimal
 
 
+class MessagesDelivered(Struct):
+    """The sender's clients got these messages first, so the receiver's get no second copies of them."""
+
+    delivered: list[int]  # hashes
+
+
 Message = (
     Hello
     | Accepting
@@ -161,6 +167,7 @@
     | FleetMembership
     | ControlAttachment
     | UsageReport
+    | MessagesDelivered
 )
 
 # Message type by key: the first of these keys that is present determines the type.
@@ -175,6 +182,7 @@
     "control": ControlAttachment,
     "beside": UsageReport,
     "ids": UsageReport,
+    "delivered": MessagesDelivered,
 }
 
 
