--- a/violetdoor/fronts/nats/session.py
+++ b/violetdoor/fronts/nats/session.py
@@ -39,6 +39,7 @@
 
 log = logging.getLogger("violetdoor.nats")
 
+MIN_REPLACEMENT_WAIT_SECONDS = 0.1  # before a session that lost its server asks for another one again
 MAX_REPLACEMENT_SECONDS = 10.0  # until a session that lost its server and finds no room for it is ended
 DEADLINE_MARGIN_MS = 50.0  # a rejection this close to the deadline counts as a timeout
 
@@ -53,8 +54,8 @@
 
     @property
     def is_retryable(self) -> bool:
-        """Whether the client may be placed later: there are servers, and none has room now."""
-        return self.retry_after_ms > 0 and self.end.error_text == NO_CAPACITY
+        """Whether the client may be placed later: there are servers, but none with room or quick enough."""
+        return self.is_by_relay and self.end.error_text in (NO_CAPACITY, PLACEMENT_TIMEOUT)
 
 
 class Session:
@@ -135,7 +136,7 @@
 
         A migration is this relay's decision. It must not end a session for which there is no place right now.
         """
-        wait_seconds = refusal.retry_after_ms / 1000
+        wait_seconds = max(MIN_REPLACEMENT_WAIT_SECONDS, refusal.retry_after_ms / 1000)
         is_over = self._loop.time() + wait_seconds >= replace_until
         if not refusal.is_retryable or is_over or self.front.is_shutting_down:
             self._count_refusal(refusal)
